Read load reports in the settings' words as well as the protocol's

Cause: roster servers name the fields of a report as the settings name the columns (concurrent, depth). The node knew only inflight and queue, so every probe's report came out empty: no estimate was ever reset, no load was known, each request waited for a probe in vain, and the module picked at random among servers that other nodes had crowded.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -487,12 +487,13 @@
 mod tests {
     use super::*;
     use hillpick::ServerEntry;
-    use tokio::io::AsyncReadExt;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
     use tokio::task::LocalSet;
 
     const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
         "settings": {"Classes": [{"Name": "read", "Target": 1, "GiveUp": 1, "Idempotency": "free"}],
+        "LoadReport": {"Columns": ["concurrent", "depth"], "Via": "pull"},
         "Rules": {"DrainGrace": 0}}}"#;
     const SERVER: ServerId = ServerId(1);
     const MINUTE: Duration = Duration::from_secs(60);
@@ -587,6 +588,27 @@
         });
     }
 
+    #[test]
+    fn a_probe_reads_a_report_in_the_words_of_the_settings_and_of_the_protocol() {
+        for body in ["concurrent=2.5,depth=1", "inflight=2.5,queue=1"] {
+            let (outcome, report) = with_pool(async |pool, listener, _| {
+                let served = spawn_local(async move {
+                    let (mut stream, _) = listener.accept().await.expect("a dial");
+                    let mut asked = [0; 10];
+                    stream.read_exact(&mut asked).await.expect("a probe");
+                    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                    stream.write_all(answer.as_bytes()).await.expect("the pool reads");
+                    (asked, stream)
+                });
+                let probed = pool.probe(SERVER).await;
+                assert_eq!(&served.await.expect("the backend's part").0, b"GET /stats");
+                probed
+            });
+            let expected = LoadReport { in_flight: Some(2.5), queue: Some(1.0), ..LoadReport::default() };
+            assert_eq!((outcome, report), (Outcome::Served, Some(expected)), "{body}");
+        }
+    }
+
     #[test]
     fn an_attempt_that_nothing_has_overtaken_is_written() {
         assert_eq!(overtaken(|_, _, _, _| {}), (Outcome::Reset, "POST /submit/1 ".to_owned()));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -27,15 +27,16 @@
 }
 
 impl Column {
-    /// The column that a load report in a header or a probe's body calls by this name.
+    /// The column that a load report in a header or a probe's body calls by this name: the protocol's own
+    /// word for it, or the one that the settings use.
     pub fn on_sockets(name: &str) -> Self {
         match name {
-            "inflight" => Column::Concurrent,
-            "queue" => Column::Depth,
-            "util" => Column::LoadShare,
-            "latency_ms" => Column::MeanMs,
-            "qps" => Column::Tps,
-            "eps" => Column::ErrPs,
+            "inflight" | "concurrent" => Column::Concurrent,
+            "queue" | "depth" => Column::Depth,
+            "util" | "load_share" => Column::LoadShare,
+            "latency_ms" | "mean_ms" => Column::MeanMs,
+            "qps" | "tps" => Column::Tps,
+            "eps" | "err_ps" => Column::ErrPs,
             _ => Column::Unknown,
         }
     }
