Weigh a reset as any other failure, not as proof that the server is gone

Cause: one broken connection, of an attempt or of a probe, put its server out for 3 s and more at once and counted it as eight times as crowded. Where connections are cut now and then all servers were ejected most of the time, and requests were refused 0.1 ms after they came, with nothing sent. A server that has died refuses the next connection: that still ejects it at once.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -349,10 +349,10 @@
                 }
                 self.judge(end.server, if tight { 0.5 } else { 0.0 }, SMOOTH * 2.0);
             }
-            Outcome::ConnectFailed | Outcome::Reset => self.judge(end.server, 1.0, 1.0),
-            _ if late || matches!(end.outcome, Outcome::Error | Outcome::TimedOut) => {
-                self.judge(end.server, 1.0, SMOOTH * 2.0)
-            }
+            Outcome::ConnectFailed => self.judge(end.server, 1.0, 1.0),
+            // A reset is the end of one connection: a server that has died refuses the next one as well.
+            Outcome::Error | Outcome::TimedOut | Outcome::Reset => self.judge(end.server, 1.0, SMOOTH * 2.0),
+            _ if late => self.judge(end.server, 1.0, SMOOTH * 2.0),
             _ => {}
         }
         match end.outcome {
@@ -529,12 +529,11 @@
     }
 
     fn on_probed(&mut self, end: ProbeEnd, actions: &mut Vec<Action>) {
-        if let Some(server) = self.servers.get_mut(&end.server) {
-            (server.probing, server.load) = (false, None);
-        }
+        self.servers.entry(end.server).and_modify(|s| (s.probing, s.load) = (false, None));
         match end.outcome {
             Outcome::Served => self.on_report(end.server, end.report, true),
-            Outcome::ConnectFailed | Outcome::Reset => self.judge(end.server, 1.0, 1.0),
+            Outcome::ConnectFailed => self.judge(end.server, 1.0, 1.0),
+            Outcome::Reset => self.judge(end.server, 1.0, SMOOTH * 2.0),
             _ => {}
         }
         self.probes_out = self.probes_out.saturating_sub(1);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -329,6 +329,36 @@
     assert!(met[&0] < 20, "{met:?}");
 }
 
+#[test]
+fn a_server_whose_connections_are_cut_now_and_then_keeps_its_part() {
+    let mut world = World::with_servers(answering(), 4);
+    let mut met = 0;
+    for _ in 0..100 {
+        // As many at once as there are servers: the others are no lower.
+        (0..4).for_each(|_| drop(world.request(1)));
+        world.pass(ms(30));
+        for (id, attempt) in world.out() {
+            let cut = world.server_of(id, attempt) == ServerId(0);
+            met += usize::from(cut);
+            let ends = if cut && met % 6 == 0 { Outcome::Reset } else { Outcome::Served };
+            world.end(id, attempt, ends, Some(0.0));
+        }
+    }
+    assert!(met > 60, "{met}");
+}
+
+#[test]
+fn a_server_whose_probes_are_cut_now_and_then_keeps_its_part() {
+    let mut world = World::with_servers(answering(), 4);
+    let mut met = 0;
+    for _ in 0..40 {
+        let (server, outcome) = (ServerId(0), Outcome::Reset);
+        world.tell(Event::Probed(ProbeEnd { server, outcome, elapsed: ms(1), report: None }));
+        met += play(&mut world, 10, |_| Outcome::Served).get(&0).copied().unwrap_or_default();
+    }
+    assert!(met > 60, "{met}");
+}
+
 #[test]
 fn an_ejected_server_comes_back_by_trial() {
     let mut world = World::with_servers(answering(), 4);
