Forget a request as soon as it has its final answer, whatever event brought it

Cause: the node dropped a request from its table only in the events that name it: its arrival, its attempts' ends, its client's leaving. One refused by a timer or after a probe, with nothing out, stayed for good, and its headers kept the whole read buffer of its connection alive, some 10 KB each.

--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -195,7 +195,6 @@
         let held = Held { forward: Rc::new(forward), reply: Some(reply), attempts: Vec::new() };
         self.held.insert(id, held);
         self.decide(Event::Request(new));
-        self.forget(id);
     }
 
     fn on_attempt(&mut self, ended: Ended) {
@@ -308,10 +307,12 @@
         });
     }
 
+    /// Any event may bring it, a timer or a probe among them: so it is forgotten here, not by the event.
     fn finish(&mut self, id: RequestId, answer: Answer) {
         if let Some(held) = self.held.get_mut(&id) {
             held.answer(answer);
         }
+        self.forget(id);
     }
 
     fn stop(&mut self, id: RequestId, number: u32, why: Stop) {
@@ -327,3 +328,58 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::task::LocalSet;
+
+    const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+        "settings": {"Classes": [{"Name": "read", "Target": 400, "GiveUp": 1000, "Idempotency": "free"}],
+        "Permissions": {"Cancel": true, "Probes": true}}}"#;
+
+    /// A node whose list is empty, on a clock that the test moves.
+    fn with_node(test: impl AsyncFnOnce(Node)) {
+        let mut runtime = tokio::runtime::Builder::new_current_thread();
+        let runtime = runtime.enable_all().start_paused(true).build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let (clock, config) = (Clock::start(), Config::parse(CONFIG).expect("good"));
+            let ((messages, _inbox), (orders, _orders)) = (mpsc::channel(16), mpsc::channel(16));
+            let pool = Pool::start(clock, &config);
+            test(Node::new(clock, &config, pool, messages, orders)).await
+        });
+    }
+
+    fn request(node: &mut Node, number: u64) -> oneshot::Receiver<Answer> {
+        let (at, remaining) = (node.clock.now(), Duration::from_secs(1));
+        let new = NewRequest { id: RequestId(number), remaining, ..NewRequest::default() };
+        let forward = Forward {
+            method: Method::GET,
+            path: PathAndQuery::from_static("/read/1"),
+            call_id: HeaderValue::from_static("1"),
+            idempotency_key: None,
+            body: Bytes::new(),
+            deadline: at + remaining,
+            window: None,
+            first_byte: Cell::new(None),
+            over: Cell::new(false),
+        };
+        let (reply, answer) = oneshot::channel();
+        node.take(Message::Request(Box::new(Taken { new, at, forward, reply })));
+        answer
+    }
+
+    #[test]
+    fn a_request_that_a_timer_refuses_is_forgotten() {
+        with_node(async |mut node| {
+            let mut answer = request(&mut node, 1);
+            assert_eq!(node.held.len(), 1, "it waits for a backend to be listed");
+            for _ in 0..1000 {
+                tokio::time::advance(node.tick).await;
+                node.fire();
+            }
+            assert!(matches!(answer.try_recv(), Ok(Answer::Refused(_))));
+            assert_eq!(node.held.len(), 0);
+        });
+    }
+}
