Read the configuration again on SIGHUP and follow discovery to its new address

Cause: the node had no handler for SIGHUP and ended on it (exit 129), losing what it held; nor could discovery's address change while it ran.

The watch is now taken up at the new address at once, from the version of the list that the node has, and that version is noted only after its news has been told, since a watch may now be left half-way. A file that can't be read changes nothing.

--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -93,7 +93,8 @@
 }
 
 pub struct Discovery {
-    address: SocketAddr,
+    /// Where discovery is now; it may move.
+    address: watch::Receiver<SocketAddr>,
     site: Site,
     messages: mpsc::Sender<Message>,
     known: Option<String>,
@@ -104,9 +105,13 @@
 }
 
 impl Discovery {
-    pub fn new(config: &Config, messages: mpsc::Sender<Message>) -> Self {
+    pub fn new(
+        config: &Config,
+        address: watch::Receiver<SocketAddr>,
+        messages: mpsc::Sender<Message>,
+    ) -> Self {
         Discovery {
-            address: config.discovery,
+            address,
             site: config.site.clone(),
             messages,
             known: config.known.clone(),
@@ -138,26 +143,31 @@
         }
     }
 
-    /// Lists are pushed: watches for good. A broken watch is no news, the list stays as it is.
+    /// Lists are pushed: watches for good. A broken watch is no news, the list stays as it is. Where discovery
+    /// has moved, the watch is taken up there at once.
     async fn follow(&mut self) {
-        let mut pause = FIRST_PAUSE;
+        let (mut pause, mut moved) = (FIRST_PAUSE, self.address.clone());
         loop {
             let opened = Instant::now();
-            let broken = self.watch().await;
+            let broken = tokio::select! {
+                broken = self.watch() => broken,
+                Ok(()) = moved.changed() => continue,
+            };
             let lasted = opened.elapsed() > LONGEST_PAUSE;
             pause = if lasted { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
             log(format_args!("the watch broke: {broken}"));
-            sleep(self.jittered(pause)).await;
+            let _ = timeout(self.jittered(pause), moved.changed()).await;
         }
     }
 
     /// Lists must be asked for: the module says when. Every call that fails is told to it.
     async fn obey(&mut self, mut orders: mpsc::Receiver<Order>) {
-        let mut watching = false;
+        let (mut watching, mut moved) = (false, self.address.clone());
         loop {
             let order = if watching {
                 tokio::select! {
                     order = orders.recv() => order,
+                    Ok(()) = moved.changed() => continue,
                     broken = self.watch() => {
                         log(format_args!("the watch broke: {broken}"));
                         watching = false;
@@ -227,13 +237,14 @@
 
     async fn get(&self, path: &str) -> Result<(Response<Incoming>, Connection), String> {
         let call = async {
-            let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
+            let address = *self.address.borrow();
+            let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
             let (mut sender, connection) =
                 http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
             let connection = Connection(spawn_local(async move {
                 let _ = connection.await; // its end shows in the answer
             }));
-            let request = Request::get(path).header(HOST, self.address.to_string());
+            let request = Request::get(path).header(HOST, address.to_string());
             let request = request.body(Empty::<Bytes>::new()).map_err(|e| e.to_string())?;
             let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
             match response.status() {
@@ -257,10 +268,10 @@
                 Err(e) => log(format_args!("a malformed line of the list was dropped: {e}")),
             }
         }
-        self.index = list.index;
         let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
         let kind = kind.unwrap_or(listed);
         self.tell(kind, backends).await;
+        self.index = list.index; // not before: a watch that is left half-way must ask for this again
         self.ready.set(self.ready.get() || kind != ListKind::Cached || self.site.settings.list_on_request);
     }
 
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -11,11 +11,12 @@
 use config::Config;
 use std::fmt::Display;
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
@@ -69,6 +70,7 @@
     let broken = |e: io::Error| format!("cannot listen for signals: {e}");
     let mut terminate = signal(SignalKind::terminate()).map_err(broken)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(broken)?;
+    let hangup = signal(SignalKind::hangup()).map_err(broken)?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
 
@@ -76,7 +78,9 @@
     let (messages, inbox) = mpsc::channel(MESSAGES);
     let (orders, discovery_orders) = mpsc::channel(16);
     let pool = backend::Pool::start(clock, &config);
-    let discovery = discovery::Discovery::new(&config, messages.clone());
+    let (moved, address) = watch::channel(config.discovery);
+    tokio::task::spawn_local(reload(hangup, moved));
+    let discovery = discovery::Discovery::new(&config, address, messages.clone());
     let ready = discovery.ready();
     let node = node::Node::new(clock, &config, pool, messages.clone(), orders);
     let front = front::Front::new(clock, &config, messages, ready);
@@ -97,3 +101,16 @@
         ended = &mut discovery => Err(format!("discovery ended: {ended:?}")),
     }
 }
+
+/// On SIGHUP the configuration is read again. Where discovery is may change while a node runs, and nothing else.
+async fn reload(mut hangup: Signal, moved: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match Config::from_env() {
+            Ok(config) => {
+                log(format_args!("told to look again: discovery is at {}", config.discovery));
+                moved.send_if_modified(|address| std::mem::replace(address, config.discovery) != *address);
+            }
+            Err(what) => log(format_args!("told to look again, but all stays as it was: {what}")),
+        }
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -274,6 +274,25 @@
     until(|| node.is_ready(), "readiness");
 }
 
+#[test]
+fn a_node_told_that_discovery_has_moved_takes_up_its_watch_there() {
+    let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
+    let (node, _watch, _before) = serving(&settings(LONG, ""), &[&old]);
+    // What can't be read changes nothing.
+    node.reload("half a conf");
+    node.logged("all stays as it was");
+    assert_eq!(node.client().read().body, b"old");
+    let after = Discovery::start();
+    node.reload(&config(after.address, &settings(LONG, ""), 1024));
+    let mut watch = after.call();
+    assert!(watch.start.contains("stream=1&index=8 "), "from the list it has: {}", watch.start);
+    assert_eq!(node.client().read().body, b"old");
+    watch.open();
+    watch.line(&list(9, true, &[entry("s-1", new.address, "in_service")]));
+    old.closed();
+    assert_eq!(node.client().read().body, b"new");
+}
+
 #[test]
 fn a_silent_watch_is_broken() {
     let backend = Backend::start(|_| ok(""));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -229,6 +230,7 @@
 
 pub struct Node {
     child: Child,
+    config: PathBuf,
     pub address: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
 }
@@ -257,7 +259,10 @@
 
 impl Node {
     pub fn start(config: &str, shell: &str) -> Self {
-        let mut child = command(config, shell).spawn().expect("the node starts");
+        let mut command = command(config, shell);
+        let config = command.get_envs().find_map(|(name, value)| value.filter(|_| name == "PROXY_CONFIG"));
+        let config = PathBuf::from(config.expect("its configuration"));
+        let mut child = command.spawn().expect("the node starts");
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
         let first = lines.next().expect("a first line");
         let address = first.rsplit(' ').next().and_then(|address| address.parse().ok());
@@ -265,7 +270,7 @@
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
         spawn(move || lines.for_each(|line| kept.lock().expect("the log").push(line)));
-        Node { child, address, log }
+        Node { child, config, address, log }
     }
 
     pub fn client(&self) -> Client {
@@ -282,8 +287,18 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration and says so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("a place for the configuration");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([signal, &id]).status().expect("kill runs").success());
     }
 
     pub fn exit(&mut self) -> ExitStatus {
