Send a peer that has sent no whole request off within 3 s of its connecting

Cause: a head could take 60 s and a body 10 s more, so a peer that connects and says nothing, or stops half-way, held a connection and its buffers for up to 70 s. It is owed an error or an end within 3 s.

Head and body of a connection's first request now have 2.5 s together, and any later head or body 2.5 s, which also ends connections idle for as long.

--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -31,8 +31,9 @@
 const ACCEPT_ON: Duration = Duration::from_millis(450);
 /// Then what was accepted last has so long to send its request before idle connections are closed.
 const LAST_WORDS: Duration = Duration::from_millis(100);
-/// A head or a body that takes longer comes from nobody who still waits for an answer.
-const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Anyone may connect, and is owed an error or an end within 3 s: so long a head may take, a body, or both
+/// where they come first on a connection. One that has been idle for so long may be closed as well.
+const READ_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How much of a body that is too long is read, so that its sender sees the answer and not a reset.
 const READ_PAST_LIMIT: usize = 16 * BODY_LIMIT;
 /// What a connection may buffer: no head is longer.
@@ -43,6 +44,8 @@
 const LONGEST_ID: usize = 256;
 
 struct Client {
+    /// Until when its first request must have come.
+    first: Cell<Option<Instant>>,
     /// Since when no request of it is held.
     idle: Cell<Option<Instant>>,
     close: Notify,
@@ -156,7 +159,9 @@
 
     fn serve(self: &Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let client = Rc::new(Client { idle: Cell::new(Some(Instant::now())), close: Notify::new() });
+        let now = Instant::now();
+        let (first, idle) = (Cell::new(Some(now + READ_TIMEOUT)), Cell::new(Some(now)));
+        let client = Rc::new(Client { first, idle, close: Notify::new() });
         let number = self.next();
         self.clients.borrow_mut().insert(number, client.clone());
         let front = self.clone();
@@ -164,7 +169,7 @@
             let service = service_fn(|request| front.clone().respond(&client, request));
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(READ_TIMEOUT * 6)
+                .header_read_timeout(READ_TIMEOUT)
                 .max_buf_size(READ_BUFFER)
                 .serve_connection(TokioIo::new(stream), service);
             let mut connection = std::pin::pin!(connection);
@@ -193,7 +198,8 @@
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         client.idle.set(None);
-        let mut response = match self.handle(request).await {
+        let until = client.first.take().unwrap_or_else(|| Instant::now() + READ_TIMEOUT);
+        let mut response = match self.handle(request, until).await {
             Ok(response) => response,
             Err((status, text)) => plain(status, Bytes::from_static(text.as_bytes())),
         };
@@ -207,10 +213,10 @@
         Ok(response)
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Bad> {
+    async fn handle(&self, request: Request<Incoming>, until: Instant) -> Result<Response<Full<Bytes>>, Bad> {
         let (head, body) = request.into_parts();
         // Read whole before anything is said: an answer over an unread body would end as a reset.
-        let body = read(body).await;
+        let body = read(body, until).await;
         let at = self.clock.now();
         if head.uri.path() == "/health/ready" {
             let ready = self.ready.get() && !self.closing.get();
@@ -318,9 +324,8 @@
     }
 }
 
-async fn read(mut body: Incoming) -> Result<Bytes, Bad> {
+async fn read(mut body: Incoming, until: Instant) -> Result<Bytes, Bad> {
     let (mut whole, mut length) = (BytesMut::new(), 0);
-    let until = Instant::now() + READ_TIMEOUT;
     while let Some(frame) =
         timeout_at(until, body.frame()).await.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "too slow"))?
     {
@@ -357,3 +362,44 @@
     *response.status_mut() = status;
     response
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::task::LocalSet;
+
+    const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+        "settings": {"Classes": [{"Name": "submit", "Target": 1, "GiveUp": 1, "Idempotency": "single_shot"}]}}"#;
+
+    /// What a peer that sends this and no more is answered, and how long after it has connected that ends.
+    fn told(sends: &str) -> (String, Duration) {
+        let mut runtime = tokio::runtime::Builder::new_current_thread();
+        let runtime = runtime.enable_all().start_paused(true).build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let config = Config::parse(CONFIG).expect("good");
+            let (messages, _inbox) = mpsc::channel(16);
+            let front = Front::new(Clock::start(), &config, messages, Rc::default());
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let mut peer =
+                TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a peer");
+            let connected = Instant::now();
+            spawn_local(front.run(listener, std::future::pending()));
+            peer.write_all(sends.as_bytes()).await.expect("the front reads");
+            let mut answer = String::new();
+            peer.read_to_string(&mut answer).await.expect("text, if anything");
+            (answer.lines().next().unwrap_or_default().to_owned(), connected.elapsed())
+        })
+    }
+
+    #[test]
+    fn a_peer_that_sends_no_whole_request_is_sent_off_in_3_s() {
+        let head = "POST /submit/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n";
+        let cases = [("", ""), (head, ""), (&format!("{head}\r\nhalf"), "HTTP/1.1 408 Request Timeout")];
+        for (sends, expected) in cases {
+            let (answer, after) = told(sends);
+            assert_eq!(answer, expected, "{sends}");
+            assert!(after < Duration::from_secs(3), "{sends}: {after:?}");
+        }
+    }
+}
