Tell the next attempt of a dial that failed after its own had been given up

Cause: an attempt may wait a fraction of the connect time-out only. Where a machine says nothing to a dial, the attempt was stopped first and counted as not sent, and the dial's failure reached nobody: the module went on to send to a server that could not be reached, as long as it stayed silent.

The failure is kept for a second and told to whoever next asks for a connection there; one that comes up, or news of the backend, forgets it.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -34,6 +34,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// So many connections in a row may turn out broken before a request was written to them.
 const BROKEN_IN_A_ROW: usize = 4;
+/// For so long a dial that failed tells of its backend; then it may be back.
+const UNREACHABLE: Duration = Duration::from_secs(1);
 
 /// An attempt to be made.
 pub struct Attempt {
@@ -100,11 +102,14 @@
     /// Attempts that wait for a connection, and dials under way: never fewer dials than waiting attempts.
     waiting: VecDeque<oneshot::Sender<Delivery>>,
     dialling: usize,
+    /// When a dial failed that nobody waited for any more: whoever comes next is told.
+    unreachable: Option<Duration>,
 }
 
 impl Place {
     fn drop_idle(&mut self) {
         self.epoch += 1;
+        self.unreachable = None;
         self.idle.clear();
     }
 }
@@ -204,6 +209,10 @@
                     return Ok(connection);
                 }
             }
+            // Attempts are shorter than the connect time-out: else a silent backend would pass for a sound one.
+            if place.unreachable.take().is_some_and(|at| now < at + UNREACHABLE) {
+                return Err(Outcome::ConnectFailed);
+            }
             place.waiting.retain(|waiting| !waiting.is_closed());
             if place.dialling <= place.waiting.len() {
                 let address = place.address.ok_or(Outcome::NotSent)?;
@@ -282,6 +291,9 @@
         if let Some(place) = self.places.borrow_mut().get_mut(&server) {
             // More wait than dials can serve: the longest waiting learns that its dial has failed.
             place.waiting.retain(|waiting| !waiting.is_closed());
+            if place.waiting.is_empty() && failed == Outcome::ConnectFailed {
+                place.unreachable = Some(self.clock.now());
+            }
             while place.waiting.len() > place.dialling {
                 let Some(waiting) = place.waiting.pop_front() else { break };
                 let _ = waiting.send(Err(failed));
@@ -297,6 +309,7 @@
         if connection.sender.is_closed() || connection.epoch != place.epoch {
             return;
         }
+        place.unreachable = None;
         while let Some(waiting) = place.waiting.pop_front() {
             match waiting.send(Ok(connection)) {
                 Err(Ok(back)) => connection = back,
@@ -588,6 +601,29 @@
         });
     }
 
+    #[test]
+    fn a_dial_that_fails_when_its_attempt_has_been_given_up_is_told_to_the_next_one() {
+        with_pool(async |pool, listener, _| {
+            drop(listener);
+            for _ in 0..2 {
+                let mut given_up = Box::pin(pool.take(SERVER));
+                tokio::select! {
+                    biased;
+                    _ = &mut given_up => panic!("the dial has not failed yet"),
+                    () = std::future::ready(()) => drop(given_up),
+                }
+                while pool.open.get() > 0 {
+                    tokio::task::yield_now().await;
+                }
+                tokio::select! {
+                    biased;
+                    told = pool.take(SERVER) => assert_eq!(told.err(), Some(Outcome::ConnectFailed)),
+                    () = std::future::ready(()) => panic!("nobody was told"),
+                }
+            }
+        });
+    }
+
     #[test]
     fn a_probe_reads_a_report_in_the_words_of_the_settings_and_of_the_protocol() {
         for body in ["concurrent=2.5,depth=1", "inflight=2.5,queue=1"] {
