Count errors and silence of one class like its rejections in a server's health

Cause: health by class knew rejections only. Some servers accept every request of one class and never answer it, while they serve the rest; each answer of another class took back what a time-out had told, so the servers stayed in use and a keyed request, which may be sent on in one cell only, failed.

An attempt counts as missed if it was turned away, failed, or was out for half of its aim without an answer; one that was cut short says nothing.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -18,8 +18,8 @@
 /// A server is to be seen so often within the memory of rates, or else fewer are used, but not under a few.
 const SIGHTINGS: f64 = 3.0;
 const FEW: f64 = 6.0;
-/// A server that has turned away more of a class than this lately, and served none since, is broken for it.
-const TURNED: f64 = 2.0;
+/// A server that has missed more of a class than this lately, and served none since, is broken for it.
+const MISSED: f64 = 2.0;
 /// An attempt is silent after so many times the median answer: for exponential answer times one in sixteen.
 const SILENT: f64 = 4.0;
 /// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
@@ -170,11 +170,11 @@
         open || server.out == 0 && chance < SMOOTH / 2.0
     }
 
-    /// A full server turns away all classes. One that serves others meanwhile, but none of this class, is
-    /// broken for it; as the memory fades it is tried again.
-    fn turns_away(&self, server: &Server, class: usize) -> bool {
-        let Some((turned, serves)) = server.turned.get(&class) else { return false };
-        *serves && turned.per_s(self.now, self.memory()) * self.memory() > TURNED
+    /// A full server turns away all classes, and a slow one is late for all. One that serves others
+    /// meanwhile, but none of this class, is broken for it; as the memory fades it is tried again.
+    fn broken_for(&self, server: &Server, class: usize) -> bool {
+        let Some((missed, serves)) = server.missed.get(&class) else { return false };
+        *serves && missed.per_s(self.now, self.memory()) * self.memory() > MISSED
     }
 
     // ---- The pick ---------------------------------------------------------------------------
@@ -252,7 +252,7 @@
         let trial = !again && luck * if once { 4.0 } else { 1.0 } < SMOOTH;
         let due = |s: &Server| trial && s.ejected.is_some_and(|until| self.now >= until && s.out == 0);
         let due: Vec<_> = permitted.iter().copied().filter(|s| due(s)).collect();
-        let sound = |s: &&Server| s.ejected.is_none() && !self.turns_away(s, request.class);
+        let sound = |s: &&Server| s.ejected.is_none() && !self.broken_for(s, request.class);
         let sound: Vec<_> = permitted.iter().copied().filter(sound).collect();
         let healthy = [due, sound, permitted].into_iter().find(|some| !some.is_empty()).unwrap_or_default();
         let fits = healthy.iter().copied().filter(|s| self.fits(s, request, luck));
@@ -336,11 +336,12 @@
         let (class, left) = (&self.settings.classes[request.class], request.until - attempt.sent);
         let tight = 4 * end.elapsed > if class.late_worth > 0.0 { 5 } else { 3 } * class.aim.min(left);
         let (finished, waiting) = (end.finished || request.done, request.out() == 0);
-        let (now, memory) = (self.now, self.memory());
-        self.servers.entry(end.server).and_modify(|s| s.ended(kind, end.outcome, now, memory));
+        let (now, memory, cut_short) = (self.now, self.memory(), 2 * end.elapsed < class.aim);
+        self.servers.entry(end.server).and_modify(|s| s.ended(kind, end.outcome, cut_short, now, memory));
         self.on_report(end.server, end.report, end.outcome == Outcome::Served);
-        // Turned away where none of its class is wanted: that says nothing of how crowded servers are.
-        let broken = |s: &Server| end.outcome == Outcome::Rejected && self.turns_away(s, kind);
+        // Where a server is broken for the class, that says nothing of how crowded servers are.
+        let reached = !matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset);
+        let broken = |s: &Server| reached && self.broken_for(s, kind);
         if !self.servers.get(&end.server).is_some_and(broken) {
             self.learn(&end, overdue, tight, crowd, weight);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,24 +23,27 @@
     pub ejected: Option<Duration>,
     /// How often in a row, halved by an answer: each time it is ejected for longer.
     pub ejections: u32,
-    /// By class: the requests that it turned away since it last served one, forgotten over the memory of
-    /// rates; and whether it has served one of another class meanwhile.
-    pub turned: BTreeMap<usize, (Rate, bool)>,
+    /// By class: the attempts that it turned away, failed or left without an answer since it last served
+    /// one, forgotten over the memory of rates; and whether it has served one of another class meanwhile.
+    pub missed: BTreeMap<usize, (Rate, bool)>,
     /// While cold: until when it may be sent a request, and when that was last drawn for.
     pub ticket: Duration,
     pub drawn: Duration,
 }
 
 impl Server {
-    /// An attempt has ended; `over` is the memory of rates.
-    pub fn ended(&mut self, class: usize, outcome: Outcome, now: Duration, over: f64) {
+    /// An attempt has ended; one that was cut short has missed nothing. `over` is the memory of rates.
+    pub fn ended(&mut self, class: usize, outcome: Outcome, cut_short: bool, now: Duration, over: f64) {
         self.out = self.out.saturating_sub(1);
         match outcome {
             Outcome::Served => {
-                self.turned.remove(&class);
-                self.turned.values_mut().for_each(|(_, serves)| *serves = true);
+                self.missed.remove(&class);
+                self.missed.values_mut().for_each(|(_, serves)| *serves = true);
+            }
+            Outcome::TimedOut | Outcome::Cancelled if cut_short => {}
+            Outcome::Rejected | Outcome::Error | Outcome::TimedOut | Outcome::Cancelled => {
+                self.missed.entry(class).or_default().0.add(now, over, 1.0);
             }
-            Outcome::Rejected => self.turned.entry(class).or_default().0.add(now, over, 1.0),
             _ => {}
         }
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -359,10 +359,10 @@
     assert!(met > 60, "{met}");
 }
 
-/// Plays requests of two classes at free servers that are probed, two of which may want none of class 1.
-/// Counts what these turned away, and the requests that were refused.
-fn play_classes(world: &mut World, rounds: usize, broken: bool) -> (usize, usize, usize) {
-    let (mut turned, mut served, before) = (0, 0, world.log.len());
+/// Plays requests of two classes at free servers that are probed, two of which may end all of class 1 like
+/// this. Counts what these missed and served, and the requests that were refused.
+fn play_classes(world: &mut World, rounds: usize, broken: Option<Outcome>) -> (usize, usize, usize) {
+    let (mut missed, mut served, before) = (0, 0, world.log.len());
     for round in 0..rounds {
         let class = usize::from(round % 4 == 0);
         world.request(class);
@@ -371,27 +371,34 @@
         world.pass(ms(9));
         while let Some((id, attempt)) = world.out().pop() {
             let sick = class == 1 && world.server_of(id, attempt).0 < 2;
-            turned += usize::from(sick && broken);
-            served += usize::from(sick && !broken);
-            world.end(id, attempt, if sick && broken { Outcome::Rejected } else { Outcome::Served }, None);
+            let ends = broken.filter(|_| sick).unwrap_or(Outcome::Served);
+            served += usize::from(sick && ends == Outcome::Served);
+            missed += usize::from(ends != Outcome::Served);
+            if ends == Outcome::TimedOut {
+                world.pass(ms(400));
+                break;
+            }
+            world.end(id, attempt, ends, None);
             world.answer_probes(&[0, 1, 2, 3]);
         }
     }
-    (turned, served, world.log[before..].iter().filter(|a| matches!(a, Action::Refuse { .. })).count())
+    (missed, served, world.log[before..].iter().filter(|a| matches!(a, Action::Refuse { .. })).count())
 }
 
 #[test]
-fn a_server_that_turns_one_class_away_is_left_out_for_that_class_alone() {
-    let mut world = World::with_servers(probing(), 4);
-    play_classes(&mut world, 200, false);
-    play_classes(&mut world, 200, true);
-    // 10 s with 250 requests of that class, half of which would go there.
-    let (turned, _, refused) = play_classes(&mut world, 1000, true);
-    assert!(turned < 20 && refused == 0, "{turned} turned away, {refused} refused");
-    // Mended, they have their part again.
-    play_classes(&mut world, 1000, false);
-    let (_, served, _) = play_classes(&mut world, 400, false);
-    assert!(served > 25, "{served}");
+fn a_server_broken_for_one_class_is_left_out_for_that_class_alone() {
+    for ends in [Outcome::Rejected, Outcome::Error, Outcome::TimedOut] {
+        let mut world = World::with_servers(probing(), 4);
+        play_classes(&mut world, 200, None);
+        play_classes(&mut world, 200, Some(ends));
+        // 250 requests of that class, half of which would go there.
+        let (missed, _, refused) = play_classes(&mut world, 1000, Some(ends));
+        assert!(missed < 20 && refused == 0, "{ends:?}: {missed} missed, {refused} refused");
+        // Mended, they have their part again.
+        play_classes(&mut world, 1000, None);
+        let (_, served, _) = play_classes(&mut world, 400, None);
+        assert!(served > 25, "{ends:?}: {served}");
+    }
 }
 
 #[test]
