Let the clock of two socket tests stand still only once their bytes have come

Under heavy load a paused clock could run ahead of bytes still on the loopback, or a second of wall time go by between two steps.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -604,6 +604,7 @@
     #[test]
     fn a_dial_that_fails_when_its_attempt_has_been_given_up_is_told_to_the_next_one() {
         with_pool(async |pool, listener, _| {
+            tokio::time::pause();
             drop(listener);
             for _ in 0..2 {
                 let mut given_up = Box::pin(pool.take(SERVER));
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -374,8 +374,7 @@
 
     /// What a peer that sends this and no more is answered, and how long after it has connected that ends.
     fn told(sends: &str) -> (String, Duration) {
-        let mut runtime = tokio::runtime::Builder::new_current_thread();
-        let runtime = runtime.enable_all().start_paused(true).build().expect("a runtime");
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         LocalSet::new().block_on(&runtime, async {
             let config = Config::parse(CONFIG).expect("good");
             let (messages, _inbox) = mpsc::channel(16);
@@ -383,9 +382,14 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let mut peer =
                 TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a peer");
+            let (stream, _) = listener.accept().await.expect("the peer");
+            peer.write_all(sends.as_bytes()).await.expect("room for it");
+            // All has come before the clock stands still, and then only moves when nothing else does.
+            let mut come = vec![0; sends.len()];
+            while !sends.is_empty() && stream.peek(&mut come).await.expect("what it sends") < sends.len() {}
+            tokio::time::pause();
             let connected = Instant::now();
-            spawn_local(front.run(listener, std::future::pending()));
-            peer.write_all(sends.as_bytes()).await.expect("the front reads");
+            front.serve(stream);
             let mut answer = String::new();
             peer.read_to_string(&mut answer).await.expect("text, if anything");
             (answer.lines().next().unwrap_or_default().to_owned(), connected.elapsed())
