--- a/src/bin/sillward/config.rs
+++ b/src/bin/sillward/config.rs
@@ -6,7 +6,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// Descriptors for all but connections: standard streams, listener, runtime, discovery, dials that end.
+/// Descriptors for all but connections: standard streams, listener, runtime, discovery, the operators' calls, dials that
+/// end.
 const SPARE_SOCKETS: usize = 48;
 
 #[derive(Deserialize)]
@@ -15,6 +16,9 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    /// Where the operators call; without it nobody does.
+    #[serde(default)]
+    ops: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -41,6 +45,7 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    pub ops: Option<SocketAddr>,
     pub seed: u64,
     /// The most client connections, and the most connections to backends.
     pub client_connections: usize,
@@ -84,6 +89,7 @@
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
+            ops: file.ops,
             seed,
             client_connections: connections / 2,
             backend_connections: connections - connections / 2,
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -3,6 +3,7 @@
 use crate::Clock;
 use crate::backend::BODY_LIMIT;
 use crate::config::Config;
+use crate::lifecycle::{ACCEPT_ON, LAST_WORDS, Lifecycle, Phase, State};
 use crate::log;
 use crate::node::{Answer, Forward, Message, Taken};
 use bytes::{Bytes, BytesMut};
@@ -25,12 +26,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-/// After SIGTERM new connections go on coming for up to 0.4 s: so long they are accepted, and a little more.
-const ACCEPT_ON: Duration = Duration::from_millis(450);
-/// Then what was accepted last has so long to send its request before idle connections are closed.
-const LAST_WORDS: Duration = Duration::from_millis(100);
 /// Anyone may connect, and is owed an error or an end within 3 s: so long a head may take, a body, or both
 /// where they come first on a connection. One that has been idle for so long may be closed as well.
 const READ_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -56,7 +53,7 @@
     site: Site,
     messages: mpsc::Sender<Message>,
     ready: Rc<Cell<bool>>,
-    closing: Cell<bool>,
+    lifecycle: Rc<Lifecycle>,
     /// The last number that a request or a connection was given.
     numbers: Cell<u64>,
     longest_deadline: Duration,
@@ -77,6 +74,7 @@
         config: &Config,
         messages: mpsc::Sender<Message>,
         ready: Rc<Cell<bool>>,
+        lifecycle: Rc<Lifecycle>,
     ) -> Rc<Self> {
         let classes = config.site.settings.classes.iter();
         Rc::new(Front {
@@ -84,7 +82,7 @@
             site: config.site.clone(),
             messages,
             ready,
-            closing: Cell::new(false),
+            lifecycle,
             numbers: Cell::new(0),
             longest_deadline: classes.map(|class| class.deadline).max().unwrap_or_default(),
             clients: RefCell::default(),
@@ -94,14 +92,14 @@
         })
     }
 
-    /// Serves clients until `stop`, then ends in good order.
-    pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+    /// Serves clients until the node terminates, then ends in good order.
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        spawn_local(self.clone().see_out());
+        let mut phase = self.lifecycle.watch();
         tokio::select! {
             () = self.accept(&listener) => {}
-            () = stop => {}
+            _ = phase.wait_for(|phase| phase.state == State::Terminating) => {}
         }
-        log("told to stop: unready, finishing what is held");
-        self.closing.set(true);
         let _ = timeout(ACCEPT_ON, self.accept(&listener)).await;
         self.serve_waiting();
         // A connection that waits in the queue may hold a request already: closing the listener would reset it.
@@ -110,7 +108,6 @@
         }
         drop(listener);
         sleep(LAST_WORDS).await;
-        self.clients.borrow().values().for_each(|client| client.close.notify_one());
         let all_left = async {
             while !self.clients.borrow().is_empty() {
                 self.left.notified().await;
@@ -122,6 +119,21 @@
         }
     }
 
+    /// Whenever the node drains, for whatever reason: clients leave on an answer that says so, and who has not
+    /// asked for anything by the end of the grace is sent off.
+    async fn see_out(self: Rc<Self>) {
+        let mut phase = self.lifecycle.watch();
+        while let Ok(Phase { since, .. }) = phase.wait_for(|phase| phase.drains()).await.map(|phase| *phase) {
+            tokio::select! {
+                () = sleep_until(since + ACCEPT_ON + LAST_WORDS) => {
+                    self.clients.borrow().values().for_each(|client| client.close.notify_one());
+                    let _ = phase.changed().await;
+                }
+                _ = phase.changed() => {}
+            }
+        }
+    }
+
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
             if self.waiting.borrow().is_none() {
@@ -207,7 +219,7 @@
         if self.clients.borrow().len() >= self.most_clients {
             self.left.notify_one(); // whoever waits to come in finds this one idle
         }
-        if self.closing.get() {
+        if self.lifecycle.now().drains() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -219,7 +231,7 @@
         let body = read(body, until).await;
         let at = self.clock.now();
         if head.uri.path() == "/health/ready" {
-            let ready = self.ready.get() && !self.closing.get();
+            let ready = self.ready.get() && !self.lifecycle.now().drains();
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return Ok(plain(status, Bytes::new()));
         }
@@ -378,7 +390,8 @@
         LocalSet::new().block_on(&runtime, async {
             let config = Config::parse(CONFIG).expect("good");
             let (messages, _inbox) = mpsc::channel(16);
-            let front = Front::new(Clock::start(), &config, messages, Rc::default());
+            let front =
+                Front::new(Clock::start(), &config, messages, Rc::default(), Rc::new(Lifecycle::new()));
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let mut peer =
                 TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a peer");
--- /dev/null
+++ b/src/bin/sillward/lifecycle.rs
@@ -0,0 +1,81 @@
+//! The one owner of what the node is about: serving, drained for its staff, or on its way out.
+
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// The front takes up to 0.2 s to see that the node is unready, and new connections go on coming for up to
+/// 0.4 s: so long they may bring requests, and a little more.
+pub const ACCEPT_ON: Duration = Duration::from_millis(450);
+/// Then what was accepted last has so long to send its request before idle connections are closed.
+pub const LAST_WORDS: Duration = Duration::from_millis(100);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Active,
+    Standby,
+    Terminating,
+}
+
+/// A state, and since when.
+#[derive(Clone, Copy, Debug)]
+pub struct Phase {
+    pub state: State,
+    pub since: Instant,
+}
+
+impl Phase {
+    /// Clients are to leave: told so with each answer.
+    pub fn drains(self) -> bool {
+        self.state != State::Active
+    }
+}
+
+pub struct Lifecycle(watch::Sender<Phase>);
+
+impl Lifecycle {
+    pub fn new() -> Self {
+        Lifecycle(watch::Sender::new(Phase { state: State::Active, since: Instant::now() }))
+    }
+
+    pub fn now(&self) -> Phase {
+        *self.0.borrow()
+    }
+
+    pub fn watch(&self) -> watch::Receiver<Phase> {
+        self.0.subscribe()
+    }
+
+    /// Enters a state, and says whether the node is in it now. To enter it again changes nothing, not even since
+    /// when: a drain that is called for twice ends no later. Nothing follows termination.
+    pub fn enter(&self, state: State) -> bool {
+        self.0.send_if_modified(|phase| {
+            let changes = phase.state != state && phase.state != State::Terminating;
+            if changes {
+                *phase = Phase { state, since: Instant::now() };
+            }
+            changes
+        });
+        self.now().state == state
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn repeated_calls_change_nothing_and_termination_is_final() {
+        let lifecycle = Lifecycle::new();
+        assert!(lifecycle.enter(State::Active) && !lifecycle.now().drains());
+        assert!(lifecycle.enter(State::Standby) && lifecycle.now().drains());
+        let since = lifecycle.now().since;
+        tokio::time::advance(Duration::from_secs(1)).await;
+        assert!(lifecycle.enter(State::Standby));
+        assert_eq!(lifecycle.now().since, since);
+        assert!(lifecycle.enter(State::Active) && !lifecycle.now().drains());
+        assert!(lifecycle.enter(State::Terminating));
+        assert!(!lifecycle.enter(State::Active) && !lifecycle.enter(State::Standby));
+        assert_eq!(lifecycle.now().state, State::Terminating);
+    }
+}
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -6,13 +6,17 @@
 mod config;
 mod discovery;
 mod front;
+mod lifecycle;
 mod node;
+mod ops;
 
 use config::Config;
+use lifecycle::{Lifecycle, State};
 use std::fmt::Display;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -73,6 +77,14 @@
     let hangup = signal(SignalKind::hangup()).map_err(broken)?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let ops = match config.ops {
+        Some(address) => Some(
+            TcpListener::bind(address)
+                .await
+                .map_err(|e| format!("cannot listen for the operators on {address}: {e}"))?,
+        ),
+        None => None,
+    };
 
     let clock = Clock::start();
     let (messages, inbox) = mpsc::channel(MESSAGES);
@@ -83,20 +95,35 @@
     let discovery = discovery::Discovery::new(&config, address, messages.clone());
     let ready = discovery.ready();
     let node = node::Node::new(clock, &config, pool, messages.clone(), orders);
-    let front = front::Front::new(clock, &config, messages, ready);
+    let lifecycle = Rc::new(Lifecycle::new());
+    let front = front::Front::new(clock, &config, messages, ready.clone(), lifecycle.clone());
     let mut node = tokio::task::spawn_local(node.run(inbox));
     let mut discovery = tokio::task::spawn_local(discovery.run(discovery_orders));
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     log(format_args!("{} listens on {address}", config.name));
+    if let Some(listener) = ops {
+        let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
+        log(format_args!("{} takes the operators' calls on {address}", config.name));
+        tokio::task::spawn_local(ops::Ops::new(lifecycle.clone(), ready).run(listener));
+    }
 
-    let stop = async {
+    tokio::task::spawn_local(async move {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
-    };
+        log("told to stop: unready, finishing what is held");
+        lifecycle.enter(State::Terminating);
+        // Whoever tells it again has been heard already.
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        }
+    });
     tokio::select! {
-        () = front.run(listener, stop) => Ok(()),
+        () = front.run(listener) => Ok(()),
         ended = &mut node => Err(format!("the node ended: {ended:?}")),
         ended = &mut discovery => Err(format!("discovery ended: {ended:?}")),
     }
--- /dev/null
+++ b/src/bin/sillward/ops.rs
@@ -0,0 +1,128 @@
+//! The operations address, for the staff: the node's state, and the calls that drain it and end the drain.
+//! It shares nothing with the clients' side but the lifecycle, so that no load there delays an answer here.
+
+use crate::lifecycle::{Lifecycle, State};
+use crate::log;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// So many calls at a time; they are part of the descriptors that `config` spares.
+const MOST_CALLS: usize = 16;
+/// A whole call takes so long at most: who has not asked by then does not wait for the answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// No call has a body that says anything.
+const BODY_LIMIT: usize = 4096;
+/// What a call may buffer; the least that hyper allows.
+const BUFFER: usize = 8192;
+/// After an accept that failed for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+pub struct Ops {
+    lifecycle: Rc<Lifecycle>,
+    /// Whether the node holds a list of backends.
+    ready: Rc<Cell<bool>>,
+}
+
+impl Ops {
+    pub fn new(lifecycle: Rc<Lifecycle>, ready: Rc<Cell<bool>>) -> Rc<Self> {
+        Rc::new(Ops { lifecycle, ready })
+    }
+
+    /// Takes calls for as long as the node runs, also while it drains.
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        let mut calls: VecDeque<JoinHandle<()>> = VecDeque::new();
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    calls.retain(|call| !call.is_finished());
+                    if calls.len() >= MOST_CALLS {
+                        // An answer takes a moment: the oldest call is silent, or half a call.
+                        calls.pop_front().into_iter().for_each(|call| call.abort());
+                    }
+                    calls.push_back(spawn_local(self.clone().serve(stream)));
+                }
+                Err(e) => {
+                    log(format_args!("cannot accept a call of the operators': {e}"));
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(|request| self.answer(request));
+        let mut server = http1::Builder::new();
+        let server = server.keep_alive(false).max_buf_size(BUFFER);
+        // What is no HTTP is answered by hyper, and what is no whole call just ends.
+        let _ = timeout(CALL_TIMEOUT, server.serve_connection(TokioIo::new(stream), service)).await;
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        let (head, body) = request.into_parts();
+        let allowed = match head.uri.path() {
+            "/status" => Method::GET,
+            "/standby" | "/active" => Method::POST,
+            _ => return Ok(told(StatusCode::NOT_FOUND, "no such call")),
+        };
+        if head.method != allowed {
+            let mut response = told(StatusCode::METHOD_NOT_ALLOWED, "wrong method for this call");
+            let allowed = HeaderValue::from_static(if allowed == Method::GET { "GET" } else { "POST" });
+            response.headers_mut().insert(ALLOW, allowed);
+            return Ok(response);
+        }
+        if Limited::new(body, BODY_LIMIT).collect().await.is_err() {
+            return Ok(told(StatusCode::BAD_REQUEST, "a body that is broken or too long"));
+        }
+        Ok(match head.uri.path() {
+            "/status" => self.status(),
+            "/standby" => self.enter(State::Standby),
+            _ => self.enter(State::Active),
+        })
+    }
+
+    /// Yes once this process can serve: it listens before it takes calls here, so that the list decides.
+    fn status(&self) -> Response<Full<Bytes>> {
+        match (self.lifecycle.now().state, self.ready.get()) {
+            (State::Terminating, _) => told(StatusCode::SERVICE_UNAVAILABLE, "terminating"),
+            (_, false) => told(StatusCode::SERVICE_UNAVAILABLE, "starting: no list of servers yet"),
+            (State::Active, true) => told(StatusCode::OK, "active"),
+            (State::Standby, true) => told(StatusCode::OK, "standby"),
+        }
+    }
+
+    fn enter(&self, state: State) -> Response<Full<Bytes>> {
+        let before = self.lifecycle.now().state;
+        if before == State::Terminating {
+            // Clients are being sent away already, and that can't be undone.
+            let status = if state == State::Standby { StatusCode::OK } else { StatusCode::CONFLICT };
+            return told(status, "terminating");
+        }
+        self.lifecycle.enter(state);
+        if before != state {
+            log(format_args!("the operators' call: from {before:?} to {state:?}"));
+        }
+        told(StatusCode::OK, if state == State::Standby { "standby" } else { "active" })
+    }
+}
+
+fn told(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{text}\n"))));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,5 +1,6 @@
 //! The real node over loopback sockets: each test is one failure, seen by a peer.
 
+mod operations;
 mod sockets;
 
 use sockets::*;
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -257,6 +257,11 @@
     )
 }
 
+/// With an address for the operators' calls.
+pub fn with_ops(config: &str) -> String {
+    config.replacen('{', r#"{"ops":"127.0.0.1:0","#, 1)
+}
+
 impl Node {
     pub fn start(config: &str, shell: &str) -> Self {
         let mut command = command(config, shell);
@@ -281,9 +286,26 @@
         self.client().ask("GET /health/ready", "", b"").status() == 200
     }
 
-    /// Waits until the log holds such a line.
-    pub fn logged(&self, text: &str) {
-        until(|| self.log.lock().expect("the log").iter().any(|line| line.contains(text)), text);
+    /// Waits until the log holds such a line, and returns it.
+    pub fn logged(&self, text: &str) -> String {
+        let mut found = None;
+        let mut find = || {
+            found = self.log.lock().expect("the log").iter().find(|line| line.contains(text)).cloned();
+            found.is_some()
+        };
+        until(&mut find, text);
+        found.expect("just found")
+    }
+
+    /// Where it takes the operators' calls.
+    pub fn ops(&self) -> SocketAddr {
+        let line = self.logged("takes the operators' calls on");
+        line.rsplit(' ').next().and_then(|address| address.parse().ok()).expect("an address")
+    }
+
+    /// Makes a call of the operators': the status it is answered with.
+    pub fn call(&self, start: &str) -> u16 {
+        Client::connect(self.ops()).ask(start, "", b"").status()
     }
 
     pub fn terminate(&self) {
@@ -342,7 +364,8 @@
     shell: &str,
 ) -> (Node, Watch, Discovery) {
     let discovery = Discovery::start();
-    let node = Node::start(&config(discovery.address, settings, sockets), shell);
+    let config = with_ops(&config(discovery.address, settings, sockets));
+    let node = Node::start(&config, shell);
     let mut watch = discovery.call();
     watch.open();
     let entries = backends.iter().enumerate().map(|(i, b)| entry(&format!("s-{i}"), b.address, "in_service"));
