--- a/src/bin/hillpick-benchlink/wire.rs
+++ b/src/bin/hillpick-benchlink/wire.rs
@@ -89,6 +89,7 @@
             plain(Event::Request(NewRequest {
                 id: id(),
                 class: at.u16(11).into(),
+                terms: None,
                 tenant: at.u16(13).into(),
                 key: at.u64(15),
                 remaining: millis(at.f64(23)),
--- a/src/bin/hillpick-benchlink/wire_tests.rs
+++ b/src/bin/hillpick-benchlink/wire_tests.rs
@@ -62,6 +62,7 @@
     let request = NewRequest {
         id: RequestId(0x000f_b047_5d3a_91c4),
         class: 0,
+        terms: None,
         tenant: 0,
         key: 0x91f0_3b7c_55d2_0a64,
         remaining: ms(240.0),
--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -1,6 +1,6 @@
 //! The backends' side: attempts, the pool of connections, probes.
 
-use crate::config::Config;
+use crate::config::{Config, Current};
 use crate::discovery::Backend;
 use crate::node::Forward;
 use crate::{Clock, log};
@@ -119,48 +119,51 @@
     places: RefCell<BTreeMap<ServerId, Place>>,
     open: Rc<Cell<usize>>,
     most_open: usize,
-    idle_limit: Duration,
-    connect_timeout: Duration,
-    drain_grace: Duration,
-    columns: Vec<Column>,
-    reports: ReportSource,
+    current: Current,
 }
 
 impl Pool {
-    pub fn start(clock: Clock, config: &Config) -> Rc<Self> {
-        let (site, settings) = (&config.site, &config.site.settings);
+    pub fn start(clock: Clock, config: &Config, current: Current) -> Rc<Self> {
         let pool = Rc::new(Pool {
             clock,
             places: RefCell::default(),
             open: Rc::default(),
             most_open: config.backend_connections,
-            // A request written just when the backend closes the connection would end as a reset.
-            idle_limit: site.idle_close * 3 / 4,
-            connect_timeout: settings.limits.connect_timeout,
-            drain_grace: settings.rules.drain_grace,
-            columns: site.columns.clone(),
-            reports: settings.reports,
+            current,
         });
-        let (sweeper, pause) = (pool.clone(), (pool.idle_limit / 8).max(Duration::from_millis(5)));
+        let sweeper = pool.clone();
         spawn_local(async move {
             loop {
-                tokio::time::sleep(pause).await;
+                tokio::time::sleep((sweeper.idle_limit() / 8).max(Duration::from_millis(5))).await;
                 sweeper.sweep();
             }
         });
         pool
     }
 
+    /// A request written just when the backend closes the connection would end as a reset.
+    fn idle_limit(&self) -> Duration {
+        self.current.get().idle_close * 3 / 4
+    }
+
+    fn drain_grace(&self) -> Duration {
+        self.current.get().settings.rules.drain_grace
+    }
+
+    fn reports(&self) -> ReportSource {
+        self.current.get().settings.reports
+    }
+
     /// Closes what has been idle for too long, before the backend would.
     fn sweep(&self) {
-        let now = self.clock.now();
+        let (now, idle_limit, drain_grace) = (self.clock.now(), self.idle_limit(), self.drain_grace());
         for place in self.places.borrow_mut().values_mut() {
             place.idle.retain(|(connection, since)| {
-                !connection.sender.is_closed() && now.saturating_sub(*since) < self.idle_limit
+                !connection.sender.is_closed() && now.saturating_sub(*since) < idle_limit
             });
         }
         let unused = |place: &Place| place.state == ServerState::Gone && place.dialling == 0;
-        let told_long_ago = |place: &Place| place.told.is_some_and(|at| now > at + 10 * self.drain_grace);
+        let told_long_ago = |place: &Place| place.told.is_some_and(|at| now > at + 10 * drain_grace);
         self.places.borrow_mut().retain(|_, place| !(unused(place) && told_long_ago(place)));
     }
 
@@ -205,7 +208,7 @@
             let place = places.get_mut(&server).ok_or(Outcome::NotSent)?;
             let now = self.clock.now();
             while let Some((connection, since)) = place.idle.pop() {
-                if !connection.sender.is_closed() && now.saturating_sub(since) < self.idle_limit {
+                if !connection.sender.is_closed() && now.saturating_sub(since) < self.idle_limit() {
                     return Ok(connection);
                 }
             }
@@ -249,7 +252,8 @@
 
     /// Opens a connection; its place among the open ones is taken already.
     async fn dial(self: &Rc<Self>, server: ServerId, address: SocketAddr, epoch: u64) -> Delivery {
-        let connected = timeout(self.connect_timeout, TcpStream::connect(address)).await;
+        let connected =
+            timeout(self.current.get().settings.limits.connect_timeout, TcpStream::connect(address)).await;
         let opened = match connected {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
@@ -374,7 +378,7 @@
         let place = places.get(&attempt.server)?;
         let forgotten =
             forward.window.zip(forward.first_byte.get()).is_some_and(|(w, first)| now >= first + w);
-        let drained = place.told.is_some_and(|told| now >= told + self.drain_grace);
+        let drained = place.told.is_some_and(|told| now >= told + self.drain_grace());
         if forward.over.get() || now >= attempt.until || drained || forgotten {
             return None;
         }
@@ -436,7 +440,7 @@
         };
         let mut request = Request::new(Full::default());
         *request.method_mut() = Method::GET;
-        let reports = self.reports != ReportSource::None;
+        let reports = self.reports() != ReportSource::None;
         *request.uri_mut() = hyper::Uri::from_static(if reports { "/stats" } else { "/health/live" });
         let address = self.places.borrow().get(&server).and_then(|place| place.address);
         let Some(address) = address else { return (Outcome::NotSent, None) };
@@ -453,7 +457,7 @@
     }
 
     fn report_in(&self, headers: &HeaderMap) -> Option<LoadReport> {
-        let value = headers.get("x-load-report").filter(|_| self.reports != ReportSource::None)?;
+        let value = headers.get("x-load-report").filter(|_| self.reports() != ReportSource::None)?;
         let report = value.to_str().ok().and_then(|text| self.report(text));
         if report.is_none() {
             log(format_args!("a malformed load report was dropped: {value:?}"));
@@ -463,12 +467,12 @@
 
     /// Reads `inflight=7,queue=2`; `None` unless all of it reads as told.
     fn report(&self, text: &str) -> Option<LoadReport> {
-        let mut report = LoadReport::default();
+        let (mut report, site) = (LoadReport::default(), self.current.get());
         for field in text.trim().split(',') {
             let (name, value) = field.split_once('=')?;
             let column = Column::on_sockets(name.trim());
             let value: f32 = value.trim().parse().ok().filter(|v: &f32| v.is_finite() && *v >= 0.0)?;
-            if self.columns.contains(&column) {
+            if site.columns.contains(&column) {
                 column.set(&mut report, value);
             }
         }
@@ -516,7 +520,8 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         LocalSet::new().block_on(&runtime, async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let pool = Pool::start(Clock::start(), &Config::parse(CONFIG).expect("good"));
+            let config = Config::parse(CONFIG).expect("good");
+            let pool = Pool::start(Clock::start(), &config, Current::new(config.site.clone()));
             let entry = ServerEntry { id: SERVER, state: ServerState::Ready, ..ServerEntry::default() };
             let backend = Backend { entry, address: listener.local_addr().expect("its address") };
             pool.update(ListKind::Full, std::slice::from_ref(&backend), pool.clock.now());
--- a/src/bin/sillward/config.rs
+++ b/src/bin/sillward/config.rs
@@ -2,9 +2,12 @@
 
 use hillpick::settings::{self, Site};
 use serde::Deserialize;
+use serde_json::Value;
 use serde_json::value::RawValue;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
 
 /// Descriptors for all but connections: standard streams, listener, runtime, discovery, the operators' calls, dials that
 /// end.
@@ -52,7 +55,27 @@
     pub backend_connections: usize,
     /// The list of backends as this node last had it: discovery's JSON, perhaps old.
     pub known: Option<String>,
-    pub site: Site,
+    pub site: Rc<Site>,
+    /// The file without the list: a later one has to hold what this one holds.
+    shape: Value,
+}
+
+/// The settings in force. All parts of the node share them, so that they change for all at once.
+#[derive(Clone)]
+pub struct Current(Rc<RefCell<Rc<Site>>>);
+
+impl Current {
+    pub fn new(site: Rc<Site>) -> Self {
+        Current(Rc::new(RefCell::new(site)))
+    }
+
+    pub fn get(&self) -> Rc<Site> {
+        self.0.borrow().clone()
+    }
+
+    pub fn set(&self, site: Rc<Site>) {
+        *self.0.borrow_mut() = site;
+    }
 }
 
 impl Config {
@@ -65,6 +88,25 @@
         Config::parse(&text).map_err(|what| format!("bad configuration: {what}"))
     }
 
+    /// Reads it again for a node that runs with this one. Only settings and the address of discovery may have
+    /// changed; the rest is as it was until the next start.
+    pub fn again(&self) -> Result<Self, String> {
+        let mut new = Config::from_env()?;
+        new.replaces(self).map_err(|what| format!("bad configuration: {what}"))?;
+        Ok(new)
+    }
+
+    fn replaces(&mut self, running: &Config) -> Result<(), String> {
+        lacks(&running.shape, &self.shape, "").map_or(Ok(()), Err)?;
+        if self.site.settings.list_on_request != running.site.settings.list_on_request {
+            return Err("how the list is had can't change while the node runs".into());
+        }
+        let mut site = Site::clone(&self.site);
+        site.number_as(&running.site);
+        self.site = Rc::new(site);
+        Ok(())
+    }
+
     pub fn parse(text: &str) -> Result<Self, String> {
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let seed = match file.seed.as_str() {
@@ -78,6 +120,16 @@
                 return Err(format!("a name is empty or stands twice in {names:?}"));
             }
         }
+        for (class, name) in site.settings.classes.iter().zip(&site.class_names) {
+            if class.deadline.is_zero() || class.aim.is_zero() {
+                return Err(format!("{name}: a deadline or target that is not over 0"));
+            }
+        }
+        if site.settings.limits.max_attempts == 0 {
+            return Err("attempts are not over 0".into());
+        }
+        let mut shape: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        shape.as_object_mut().and_then(|file| file.remove("known"));
         let connections = file.limits.sockets.saturating_sub(SPARE_SOCKETS);
         if connections < 2 {
             return Err(format!(
@@ -94,7 +146,94 @@
             client_connections: connections / 2,
             backend_connections: connections - connections / 2,
             known: file.known.map(|known| known.get().to_owned()),
-            site,
+            site: Rc::new(site),
+            shape,
         })
     }
 }
+
+/// The first key of the running configuration that a new one is short of: that is how a file looks which was
+/// written or copied by halves. Elements of an array, like the classes, need what all of them had.
+fn lacks(running: &Value, new: &Value, path: &str) -> Option<String> {
+    match (running, new) {
+        (Value::Object(running), Value::Object(new)) => running.iter().find_map(|(key, value)| {
+            let path = format!("{path}/{key}");
+            match new.get(key) {
+                None | Some(Value::Null) if !value.is_null() => Some(format!("{path} is missing")),
+                Some(new) => lacks(value, new, &path),
+                None => None,
+            }
+        }),
+        (Value::Array(running), Value::Array(new)) => {
+            let (first, rest) = running.split_first()?;
+            let common = rest.iter().fold(first.clone(), |mut common, other| {
+                if let (Value::Object(common), Value::Object(other)) = (&mut common, other) {
+                    common.retain(|key, _| other.contains_key(key));
+                }
+                common
+            });
+            new.iter().enumerate().find_map(|(i, new)| lacks(&common, new, &format!("{path}/{i}")))
+        }
+        (Value::Object(_) | Value::Array(_), _) => Some(format!("{path} is no longer what it was")),
+        _ => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const RUNNING: &str = r#"{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "known": {"endpoints": []},
+        "limits": {"sockets": 512}, "settings": {"Localities": ["a", "b"], "HostTypes": ["m", "n"], "Zone": 1,
+        "Permissions": {"AttemptsCap": 3, "Probes": true},
+        "Classes": [{"Name": "read", "Target": 1, "GiveUp": 2, "Idempotency": "free", "Credit": 1},
+                    {"Name": "submit", "Target": 1, "GiveUp": 2, "Idempotency": "guarded", "Credit": 1, "Window": 9}]}}"#;
+
+    fn replaced(by: &str) -> Result<Rc<Site>, String> {
+        let mut new = Config::parse(by)?;
+        new.replaces(&Config::parse(RUNNING).expect("good")).map(|()| new.site)
+    }
+
+    #[test]
+    fn a_file_by_halves_or_with_figures_that_make_no_sense_is_not_taken() {
+        let cases = [
+            ("", "", "EOF"),
+            (r#""Window": 9}]}}"#, r#""Window": 9}]"#, "EOF"),
+            (r#""Permissions": {"AttemptsCap": 3, "Probes": true},"#, "", "/settings/Permissions is missing"),
+            (r#""AttemptsCap": 3, "#, "", "/settings/Permissions/AttemptsCap is missing"),
+            (r#""limits": {"sockets": 512}, "#, "", "/limits is missing"),
+            (r#""limits": {"sockets": 512}"#, r#""limits": {}"#, "/limits/sockets is missing"),
+            (r#""free", "Credit": 1"#, r#""free""#, "/settings/Classes/0/Credit is missing"),
+            (r#""GiveUp": 2, "Idempotency": "free""#, r#""Idempotency": "free""#, "GiveUp"),
+            (r#""GiveUp": 2"#, r#""GiveUp": 0"#, "not over 0"),
+            (r#""GiveUp": 2"#, r#""GiveUp": -2"#, "not over 0"),
+            (r#""Target": 1"#, r#""Target": 0"#, "not over 0"),
+            (r#""AttemptsCap": 3"#, r#""AttemptsCap": 0"#, "not over 0"),
+            (r#""AttemptsCap": 3"#, r#""AttemptsCap": -1"#, "invalid value"),
+            (r#""AttemptsCap": 3"#, r#""AttemptsCap": null"#, "bad settings"),
+            (r#""Zone": 1"#, r#""Zone": 1, "RegistryMode": "ask""#, "can't change"),
+            (r#""Name": "submit""#, r#""Name": "read""#, "stands twice"),
+        ];
+        for (old, new, expected) in cases {
+            let by = if old.is_empty() { String::new() } else { RUNNING.replacen(old, new, 1) };
+            let why = replaced(&by).expect_err(new);
+            assert!(why.contains(expected), "{new}: {why}");
+        }
+    }
+
+    #[test]
+    fn zones_and_kinds_keep_their_numbers_and_no_list_is_wanted() {
+        let by =
+            RUNNING.replace(r#""known": {"endpoints": []},"#, "").replace(r#"["a", "b"]"#, r#"["c", "b"]"#);
+        let site = replaced(&by.replace(r#"["m", "n"]"#, r#"["n"]"#)).expect("good");
+        assert_eq!((&site.zone_names[..], site.settings.zone), (&["a", "b", "c"].map(String::from)[..], 1));
+        assert_eq!(site.kind_names, ["m", "n"]);
+    }
+
+    #[test]
+    fn a_class_of_another_effect_needs_what_all_classes_have() {
+        let added = r#""Classes": [{"Name": "correct", "Target": 1, "GiveUp": 2, "Idempotency": "single_shot", "Credit": 2},"#;
+        let site = replaced(&RUNNING.replace(r#""Classes": ["#, added)).expect("good");
+        assert_eq!(site.class_names, ["correct", "read", "submit"]);
+    }
+}
--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -1,10 +1,10 @@
 //! Discovery: the list of backends, the watch that keeps it fresh, and the backends' numbers.
 
-use crate::config::Config;
+use crate::config::{Config, Current};
 use crate::log;
 use crate::node::Message;
 use bytes::{Bytes, BytesMut};
-use hillpick::settings::{Site, millis};
+use hillpick::settings::millis;
 use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
@@ -95,7 +95,7 @@
 pub struct Discovery {
     /// Where discovery is now; it may move.
     address: watch::Receiver<SocketAddr>,
-    site: Site,
+    current: Current,
     messages: mpsc::Sender<Message>,
     known: Option<String>,
     random: Pcg32,
@@ -107,12 +107,13 @@
 impl Discovery {
     pub fn new(
         config: &Config,
+        current: Current,
         address: watch::Receiver<SocketAddr>,
         messages: mpsc::Sender<Message>,
     ) -> Self {
         Discovery {
             address,
-            site: config.site.clone(),
+            current,
             messages,
             known: config.known.clone(),
             random: Pcg32::seed_from_u64(!config.seed),
@@ -136,7 +137,7 @@
                 ready.set(ready.get() || some);
             });
         }
-        if self.site.settings.list_on_request {
+        if self.current.get().settings.list_on_request {
             self.obey(orders).await;
         } else {
             self.follow().await;
@@ -272,15 +273,17 @@
         let kind = kind.unwrap_or(listed);
         self.tell(kind, backends).await;
         self.index = list.index; // not before: a watch that is left half-way must ask for this again
-        self.ready.set(self.ready.get() || kind != ListKind::Cached || self.site.settings.list_on_request);
+        self.ready
+            .set(self.ready.get() || kind != ListKind::Cached || self.current.get().settings.list_on_request);
     }
 
     fn read(&self, line: Line) -> Result<Backend, String> {
+        let site = self.current.get();
         let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
-        let zone = if line.zone.is_empty() { Some(0) } else { place(&self.site.zone_names, &line.zone) };
+        let zone = if line.zone.is_empty() { Some(0) } else { place(&site.zone_names, &line.zone) };
         let zone = zone.and_then(|zone| u8::try_from(zone).ok());
         // A new kind of machine serves like any other, but the zone decides where repeats may go.
-        let kind = place(&self.site.kind_names, &line.kind).and_then(|kind| u8::try_from(kind).ok());
+        let kind = place(&site.kind_names, &line.kind).and_then(|kind| u8::try_from(kind).ok());
         let state = match line.status {
             Status::InService => ServerState::Ready,
             Status::Terminating => ServerState::Draining,
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -2,13 +2,13 @@
 
 use crate::Clock;
 use crate::backend::BODY_LIMIT;
-use crate::config::Config;
+use crate::config::{Config, Current};
 use crate::lifecycle::{ACCEPT_ON, LAST_WORDS, Lifecycle, Phase, State};
 use crate::log;
 use crate::node::{Answer, Forward, Message, Taken};
 use bytes::{Bytes, BytesMut};
 use hillpick::settings::Site;
-use hillpick::{NewRequest, Repeat, RequestId};
+use hillpick::{NewRequest, Repeat, RequestId, Terms};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER};
@@ -50,13 +50,12 @@
 
 pub struct Front {
     clock: Clock,
-    site: Site,
+    current: Current,
     messages: mpsc::Sender<Message>,
     ready: Rc<Cell<bool>>,
     lifecycle: Rc<Lifecycle>,
     /// The last number that a request or a connection was given.
     numbers: Cell<u64>,
-    longest_deadline: Duration,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     most_clients: usize,
     /// A connection that is accepted, and waits for another to make room. It outlives a cancelled accept:
@@ -72,19 +71,18 @@
     pub fn new(
         clock: Clock,
         config: &Config,
+        current: Current,
         messages: mpsc::Sender<Message>,
         ready: Rc<Cell<bool>>,
         lifecycle: Rc<Lifecycle>,
     ) -> Rc<Self> {
-        let classes = config.site.settings.classes.iter();
         Rc::new(Front {
             clock,
-            site: config.site.clone(),
+            current,
             messages,
             ready,
             lifecycle,
             numbers: Cell::new(0),
-            longest_deadline: classes.map(|class| class.deadline).max().unwrap_or_default(),
             clients: RefCell::default(),
             most_clients: config.client_connections,
             waiting: RefCell::default(),
@@ -114,7 +112,9 @@
             }
         };
         // Every request has its answer by its deadline; who is left then has sent half a request at most.
-        if timeout(self.longest_deadline, all_left).await.is_err() {
+        let site = self.current.get();
+        let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+        if timeout(longest, all_left).await.is_err() {
             log("a client would not end its connection");
         }
     }
@@ -227,6 +227,8 @@
 
     async fn handle(&self, request: Request<Incoming>, until: Instant) -> Result<Response<Full<Bytes>>, Bad> {
         let (head, body) = request.into_parts();
+        // The settings may change while the body comes: it is under those that held when it began.
+        let site = self.current.get();
         // Read whole before anything is said: an answer over an unread body would end as a reset.
         let body = read(body, until).await;
         let at = self.clock.now();
@@ -235,17 +237,24 @@
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return Ok(plain(status, Bytes::new()));
         }
-        let (new, forward) = self.check(head, body?, at)?;
+        let (mut new, forward) = self.check(&site, head, body?, at)?;
         let (reply, answer) = oneshot::channel();
         // The place for the news that the client has left is kept now: a drop can't wait for one.
-        let Ok(place) = self.messages.clone().reserve_owned().await else {
+        let places = (self.messages.clone().reserve_owned().await, self.messages.reserve().await);
+        let (Ok(later), Ok(place)) = places else {
             return Ok(plain(StatusCode::BAD_GATEWAY, Bytes::new()));
         };
-        let mut gone = Gone { id: new.id, place: Some(place) };
-        let taken = Box::new(Taken { new, at, forward, reply });
-        if self.messages.send(Message::Request(taken)).await.is_err() {
-            return Ok(plain(StatusCode::BAD_GATEWAY, Bytes::new()));
+        // From here to the sending nothing else happens: the module has the settings that hold now.
+        let present = self.current.get();
+        if !Rc::ptr_eq(&site, &present) {
+            let class = site.settings.classes[new.class].clone();
+            new.terms = Some(Terms { class, max_attempts: site.settings.limits.max_attempts });
+            new.class = position(&present.class_names, &site.class_names[new.class]).unwrap_or(usize::MAX);
+            let tenant = site.tenant_names.get(new.tenant);
+            new.tenant = tenant.map_or(0, |name| position(&present.tenant_names, name).unwrap_or(usize::MAX));
         }
+        let mut gone = Gone { id: new.id, place: Some(later) };
+        place.send(Message::Request(Box::new(Taken { new, at, forward, reply })));
         let answer = answer.await.unwrap_or(Answer::Failed);
         gone.place = None;
         Ok(match answer {
@@ -264,15 +273,21 @@
     }
 
     /// Reads a request as the protocol words it. What does not fit never reaches a backend.
-    fn check(&self, head: Parts, body: Bytes, at: Duration) -> Result<(NewRequest, Forward), Bad> {
+    fn check(
+        &self,
+        site: &Site,
+        head: Parts,
+        body: Bytes,
+        at: Duration,
+    ) -> Result<(NewRequest, Forward), Bad> {
         const BAD: StatusCode = StatusCode::BAD_REQUEST;
         let path = head.uri.path_and_query().ok_or((BAD, "no path"))?.clone();
         let mut parts = path.path().strip_prefix('/').ok_or((BAD, "no path"))?.split('/');
         let name = parts.next().unwrap_or_default();
-        let class = self.site.class_names.iter().position(|known| known == name);
+        let class = position(&site.class_names, name);
         let class = class.ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
         let key = parts.next_back().filter(|key| !key.is_empty()).map_or(0, key_number);
-        let terms = &self.site.settings.classes[class];
+        let terms = &site.settings.classes[class];
 
         let idempotency_key = head.headers.get("idempotency-key").cloned();
         let method = if terms.repeat == Repeat::Safe { Method::GET } else { Method::POST };
@@ -293,14 +308,15 @@
         let budget = budget.filter(|ms| (1..=LONGEST_BUDGET_MS).contains(ms));
         let remaining = Duration::from_millis(budget.ok_or((BAD, "no X-Budget-Ms that makes sense"))?);
         let caller = text(&head.headers, "x-caller");
-        let tenant = self.site.tenant_names.iter().position(|known| Some(known.as_str()) == caller);
-        if tenant.is_none() && !self.site.tenant_names.is_empty() {
+        let tenant = site.tenant_names.iter().position(|known| Some(known.as_str()) == caller);
+        if tenant.is_none() && !site.tenant_names.is_empty() {
             return Err((StatusCode::FORBIDDEN, "unknown tenant"));
         }
         let cost = text(&head.headers, "x-call-cost").and_then(|text| text.parse().ok());
         let new = NewRequest {
             id: RequestId(self.next()),
             class,
+            terms: None,
             tenant: tenant.unwrap_or_default(),
             key,
             remaining,
@@ -356,6 +372,10 @@
     Ok(whole.freeze())
 }
 
+fn position(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -390,8 +410,8 @@
         LocalSet::new().block_on(&runtime, async {
             let config = Config::parse(CONFIG).expect("good");
             let (messages, _inbox) = mpsc::channel(16);
-            let front =
-                Front::new(Clock::start(), &config, messages, Rc::default(), Rc::new(Lifecycle::new()));
+            let (current, lifecycle) = (Current::new(config.site.clone()), Rc::new(Lifecycle::new()));
+            let front = Front::new(Clock::start(), &config, current, messages, Rc::default(), lifecycle);
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let mut peer =
                 TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a peer");
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -10,8 +10,9 @@
 mod node;
 mod ops;
 
-use config::Config;
+use config::{Config, Current};
 use lifecycle::{Lifecycle, State};
+use node::Message;
 use std::fmt::Display;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -89,14 +90,21 @@
     let clock = Clock::start();
     let (messages, inbox) = mpsc::channel(MESSAGES);
     let (orders, discovery_orders) = mpsc::channel(16);
-    let pool = backend::Pool::start(clock, &config);
+    let current = Current::new(config.site.clone());
+    let pool = backend::Pool::start(clock, &config, current.clone());
     let (moved, address) = watch::channel(config.discovery);
-    tokio::task::spawn_local(reload(hangup, moved));
-    let discovery = discovery::Discovery::new(&config, address, messages.clone());
+    let discovery = discovery::Discovery::new(&config, current.clone(), address, messages.clone());
     let ready = discovery.ready();
     let node = node::Node::new(clock, &config, pool, messages.clone(), orders);
     let lifecycle = Rc::new(Lifecycle::new());
-    let front = front::Front::new(clock, &config, messages, ready.clone(), lifecycle.clone());
+    let front = front::Front::new(
+        clock,
+        &config,
+        current.clone(),
+        messages.clone(),
+        ready.clone(),
+        lifecycle.clone(),
+    );
     let mut node = tokio::task::spawn_local(node.run(inbox));
     let mut discovery = tokio::task::spawn_local(discovery.run(discovery_orders));
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
@@ -122,6 +130,7 @@
             }
         }
     });
+    tokio::task::spawn_local(reload(hangup, config, current, moved, messages));
     tokio::select! {
         () = front.run(listener) => Ok(()),
         ended = &mut node => Err(format!("the node ended: {ended:?}")),
@@ -129,13 +138,30 @@
     }
 }
 
-/// On SIGHUP the configuration is read again. Where discovery is may change while a node runs, and nothing else.
-async fn reload(mut hangup: Signal, moved: watch::Sender<SocketAddr>) {
+/// On SIGHUP the configuration is read again. Where discovery is and the settings may change while a node runs, and
+/// nothing else: both at once, or neither.
+async fn reload(
+    mut hangup: Signal,
+    mut running: Config,
+    current: Current,
+    moved: watch::Sender<SocketAddr>,
+    messages: mpsc::Sender<Message>,
+) {
     while hangup.recv().await.is_some() {
-        match Config::from_env() {
+        // The place in the queue comes first: nothing may happen between the swap and the news of it, or a
+        // request could be read by one settings and decided on by others.
+        let Ok(place) = messages.reserve().await else { return };
+        match running.again() {
             Ok(config) => {
-                log(format_args!("told to look again: discovery is at {}", config.discovery));
+                log(format_args!(
+                    "told to look again: discovery is at {}, classes are {}",
+                    config.discovery,
+                    config.site.class_names.join(", ")
+                ));
                 moved.send_if_modified(|address| std::mem::replace(address, config.discovery) != *address);
+                current.set(config.site.clone());
+                place.send(Message::Settings(config.site.clone()));
+                running = config;
             }
             Err(what) => log(format_args!("told to look again, but all stays as it was: {what}")),
         }
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -6,6 +6,7 @@
 use crate::discovery::{News, Order};
 use crate::{Clock, log};
 use bytes::Bytes;
+use hillpick::settings::{Site, places};
 use hillpick::*;
 use hyper::Method;
 use hyper::header::HeaderValue;
@@ -26,6 +27,7 @@
     Attempt(Ended),
     Probe(ProbeEnded),
     List(News),
+    Settings(Rc<Site>),
 }
 
 /// A request that the front has taken.
@@ -66,6 +68,8 @@
     forward: Rc<Forward>,
     /// The way to the client, until the final answer has gone there.
     reply: Option<oneshot::Sender<Answer>>,
+    /// By the rules that it came under.
+    max_attempts: usize,
     /// In the order of Send; an attempt's number is its place.
     attempts: Vec<Out>,
 }
@@ -100,8 +104,8 @@
     pool: Rc<Pool>,
     messages: mpsc::Sender<Message>,
     discovery: mpsc::Sender<Order>,
-    tick: Duration,
-    max_attempts: usize,
+    /// The settings that the module goes by.
+    site: Rc<Site>,
     held: BTreeMap<RequestId, Held>,
     timers: BinaryHeap<Reverse<(Duration, u64, Due)>>,
     timers_set: u64,
@@ -121,8 +125,7 @@
             pool,
             messages,
             discovery,
-            tick: settings.tick,
-            max_attempts: settings.limits.max_attempts.max(1) as usize,
+            site: config.site.clone(),
             balancer: Balancer::new(settings, config.seed),
             held: BTreeMap::new(),
             timers: BinaryHeap::new(),
@@ -182,6 +185,13 @@
                 let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
                 self.decide(Event::List { kind: news.kind, entries });
             }
+            Message::Settings(site) => {
+                let settings = Box::new(site.settings.clone());
+                let classes = places(&site.class_names, &self.site.class_names);
+                let tenants = places(&site.tenant_names, &self.site.tenant_names);
+                self.site = site;
+                self.decide(Event::Settings { settings, classes, tenants });
+            }
         }
     }
 
@@ -191,8 +201,15 @@
         let waited = self.clock.now().saturating_sub(at);
         new.remaining = new.remaining.saturating_sub(waited);
         // A tick early: the answer is to be with the client before it gives up.
-        self.set(deadline.saturating_sub(self.tick), Due::Deadline(id));
-        let held = Held { forward: Rc::new(forward), reply: Some(reply), attempts: Vec::new() };
+        self.set(deadline.saturating_sub(self.site.settings.tick), Due::Deadline(id));
+        let max_attempts =
+            new.terms.as_ref().map_or(self.site.settings.limits.max_attempts, |terms| terms.max_attempts);
+        let held = Held {
+            forward: Rc::new(forward),
+            reply: Some(reply),
+            max_attempts: max_attempts.max(1) as usize,
+            attempts: Vec::new(),
+        };
         self.held.insert(id, held);
         self.decide(Event::Request(new));
     }
@@ -274,7 +291,7 @@
         let held = self.held.get_mut(&id)?;
         let (number, finished) = (held.attempts.len() as u32, held.reply.is_none());
         let deadline = held.forward.deadline;
-        if finished || now >= deadline || held.attempts.len() >= self.max_attempts {
+        if finished || now >= deadline || held.attempts.len() >= held.max_attempts {
             held.attempts.push(Out { server, sent: now, stop: None, ended: true });
             return Some(Event::AttemptEnded(AttemptEnd {
                 id,
@@ -332,6 +349,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::config::Current;
     use tokio::task::LocalSet;
 
     const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
@@ -345,7 +363,7 @@
         LocalSet::new().block_on(&runtime, async {
             let (clock, config) = (Clock::start(), Config::parse(CONFIG).expect("good"));
             let ((messages, _inbox), (orders, _orders)) = (mpsc::channel(16), mpsc::channel(16));
-            let pool = Pool::start(clock, &config);
+            let pool = Pool::start(clock, &config, Current::new(config.site.clone()));
             test(Node::new(clock, &config, pool, messages, orders)).await
         });
     }
@@ -375,7 +393,7 @@
             let mut answer = request(&mut node, 1);
             assert_eq!(node.held.len(), 1, "it waits for a backend to be listed");
             for _ in 0..1000 {
-                tokio::time::advance(node.tick).await;
+                tokio::time::advance(node.site.settings.tick).await;
                 node.fire();
             }
             assert!(matches!(answer.try_recv(), Ok(Answer::Refused(_))));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -65,6 +65,15 @@
     pub streamed: bool,
 }
 
+/// The rules that a request came under. They stay its own when the settings change.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Terms {
+    /// Its class as it was then.
+    pub class: Class,
+    /// The most attempts for it.
+    pub max_attempts: u32,
+}
+
 /// How far a request may be repeated once an attempt may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
@@ -268,8 +277,10 @@
 pub struct NewRequest {
     /// The request.
     pub id: RequestId,
-    /// Its class.
+    /// Its class, by position in the present settings; beyond their end for one that they no longer hold.
     pub class: usize,
+    /// The rules that it came under, where those are not the present ones.
+    pub terms: Option<Terms>,
     /// Its tenant.
     pub tenant: usize,
     /// What it concerns; 0 for nothing.
@@ -349,6 +360,15 @@
     },
     /// A probe has ended.
     Probed(ProbeEnd),
+    /// From here on these settings hold. Requests that are open keep the rules that they came under.
+    Settings {
+        /// All of them.
+        settings: Box<Settings>,
+        /// For each class, where it stood in the settings before, if it did.
+        classes: Vec<Option<usize>>,
+        /// For each tenant, likewise.
+        tenants: Vec<Option<usize>>,
+    },
     /// A message from another node.
     Peer {
         /// The sender's number.
@@ -427,6 +447,21 @@
     },
 }
 
+impl Default for Class {
+    /// Safe to repeat, within a second.
+    fn default() -> Self {
+        Class {
+            aim: Duration::from_millis(500),
+            aim_stretch: 0.0,
+            deadline: Duration::from_secs(1),
+            worth: 1.0,
+            late_worth: 0.0,
+            repeat: Repeat::Safe,
+            streamed: false,
+        }
+    }
+}
+
 impl Default for Settings {
     /// One node, one safe class, no tenants, no reports and no probes: the least a node can run on.
     fn default() -> Self {
@@ -434,15 +469,7 @@
             nodes: 1,
             node: 0,
             zone: 0,
-            classes: vec![Class {
-                aim: Duration::from_millis(500),
-                aim_stretch: 0.0,
-                deadline: Duration::from_secs(1),
-                worth: 1.0,
-                late_worth: 0.0,
-                repeat: Repeat::Safe,
-                streamed: false,
-            }],
+            classes: vec![Class::default()],
             tenants: Vec::new(),
             over_share_worth: 1.0,
             worth_by_work: false,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -67,6 +67,7 @@
             Event::Timer { token: TICK } => self.on_tick(actions),
             Event::Timer { token } => self.on_request_timer(RequestId(token), actions),
             Event::Probed(end) => self.on_probed(end, actions),
+            Event::Settings { settings, classes, tenants } => self.resettle(*settings, &classes, &tenants),
             Event::Peer { .. } => {}
         }
     }
@@ -85,7 +86,7 @@
     /// Rule 2: what may have run is sent again only as its class allows.
     fn repeat_allows(&self, server: &Server, request: &Request) -> bool {
         let Some(first) = request.attempts.iter().find(|a| a.may_have_run()) else { return true };
-        match self.settings.classes[request.class].repeat {
+        match request.terms.class.repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => false,
             Repeat::Keyed { scope, window } => {
@@ -172,8 +173,8 @@
 
     /// A full server turns away all classes, and a slow one is late for all. One that serves others
     /// meanwhile, but none of this class, is broken for it; as the memory fades it is tried again.
-    fn broken_for(&self, server: &Server, class: usize) -> bool {
-        let Some((missed, serves)) = server.missed.get(&class) else { return false };
+    fn broken_for(&self, server: &Server, class: Option<usize>) -> bool {
+        let Some((missed, serves)) = class.and_then(|class| server.missed.get(&class)) else { return false };
         *serves && missed.per_s(self.now, self.memory()) * self.memory() > MISSED
     }
 
@@ -248,7 +249,7 @@
         }
         // Soft gates give way when they leave nobody. Ejected servers get one request in so many on trial,
         // seldom one that can't be sent again: else trials take most of a quiet node's requests.
-        let once = self.settings.classes[request.class].repeat == Repeat::Unsafe;
+        let once = request.terms.class.repeat == Repeat::Unsafe;
         let trial = !again && luck * if once { 4.0 } else { 1.0 } < SMOOTH;
         let due = |s: &Server| trial && s.ejected.is_some_and(|until| self.now >= until && s.out == 0);
         let due: Vec<_> = permitted.iter().copied().filter(|s| due(s)).collect();
@@ -289,14 +290,14 @@
         let now = self.now;
         let (Some(request), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
         let again = !request.attempts.is_empty();
-        let room = (request.attempts.len() as u32) < self.settings.limits.max_attempts.max(1);
+        let room = (request.attempts.len() as u32) < request.terms.max_attempts.max(1);
         let owed = !request.done && self.may_go(request) && now < request.until;
         if !owed || !room || !self.permitted(server, request) {
             return self.finish(id, actions);
         }
         // Time is kept for one more attempt where there may be one: the server may stay silent.
         let (left, patience) = (request.until - now, self.patience_with(request));
-        let more = self.settings.classes[request.class].repeat != Repeat::Unsafe
+        let more = request.terms.class.repeat != Repeat::Unsafe
             && left > patience * 5 / 4
             && self.retry_tokens >= if again { 2.0 } else { 1.0 };
         let hedged = self.settings.limits.parallel_attempts;
@@ -333,10 +334,11 @@
         let past = self.now.as_secs_f64() - request.until.as_secs_f64();
         let overdue = (0.0..usual / 4.0).contains(&past) && end.elapsed.as_secs_f64() >= usual;
         // Nothing to spare, or well past the aim where late answers have worth.
-        let (class, left) = (&self.settings.classes[request.class], request.until - attempt.sent);
-        let tight = 4 * end.elapsed > if class.late_worth > 0.0 { 5 } else { 3 } * class.aim.min(left);
+        let (aim, late_worth) = (request.terms.class.aim, request.terms.class.late_worth);
+        let left = request.until - attempt.sent;
+        let tight = 4 * end.elapsed > if late_worth > 0.0 { 5 } else { 3 } * aim.min(left);
         let (finished, waiting) = (end.finished || request.done, request.out() == 0);
-        let (now, memory, cut_short) = (self.now, self.memory(), 2 * end.elapsed < class.aim);
+        let (now, memory, cut_short) = (self.now, self.memory(), 2 * end.elapsed < aim);
         self.servers.entry(end.server).and_modify(|s| s.ended(kind, end.outcome, cut_short, now, memory));
         self.on_report(end.server, end.report, end.outcome == Outcome::Served);
         // Where a server is broken for the class, that says nothing of how crowded servers are.
@@ -432,7 +434,7 @@
         if request.out() > 0 && self.now < request.until {
             return; // what is out may still be answered
         }
-        let harmless = match self.settings.classes[request.class].repeat {
+        let harmless = match request.terms.class.repeat {
             Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
             _ => !request.attempts.iter().any(Attempt::may_have_run),
         };
@@ -458,20 +460,24 @@
     // ---- Housekeeping -----------------------------------------------------------------------
 
     fn on_request(&mut self, new: NewRequest, actions: &mut Vec<Action>) {
-        let class = new.class.min(self.settings.classes.len() - 1);
-        let terms = self.settings.classes[class].clone();
+        let present = Some(new.class).filter(|class| *class < self.settings.classes.len());
+        let class = &self.settings.classes[present.unwrap_or_default()];
+        let max_attempts = self.settings.limits.max_attempts;
+        let all = new.terms.clone().unwrap_or_else(|| Terms { class: class.clone(), max_attempts });
+        let terms = &all.class;
         // The timer comes a tick late at most, and the answer must be there before the client leaves.
         let deadline = self.now + new.remaining.saturating_sub(2 * self.settings.tick);
         let stretch = new.cost.unwrap_or_default().mul_f64(terms.aim_stretch.clamp(0.0, 1e3));
-        let aim = (self.now + terms.aim + stretch).saturating_sub(self.spent(&new, class));
+        let aim = (self.now + terms.aim + stretch).saturating_sub(self.spent(&new, present, terms.deadline));
         let until = if terms.late_worth > 0.0 { deadline } else { deadline.min(aim) };
         let weight = self.weigh(new.cost);
         self.arrived.add(self.now, self.memory(), weight);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(2.0 / RETRY_SHARE);
         let paid = PRICE_SPEND / self.settings.prices.probe.max(1e-9);
         self.probe_tokens = (self.probe_tokens + paid).min(self.order.len() as f64);
-        let (value, probed) = (self.value(class, new.tenant), !self.probes_tell());
-        let request = Request { class, weight, value, until, probed, ..Request::default() };
+        let (value, probed) = (self.value(terms.worth, new.tenant), !self.probes_tell());
+        let request =
+            Request { class: present, terms: all, weight, value, until, probed, ..Request::default() };
         self.requests.insert(new.id, request);
         // Hopeless even on a free server. Where most are idle it may try: hints are not exact.
         let most = until.saturating_sub(self.now) * if self.busy < 0.5 { 2 } else { 1 };
@@ -484,10 +490,12 @@
 
     /// What a client has waited already, as far as it shows: a marked repeat whose time is not that of a
     /// first try waits for the rest of its deadline. Work for one past its aim only feeds a jam.
-    fn spent(&mut self, new: &NewRequest, class: usize) -> Duration {
-        let deadline = self.settings.classes[class].deadline;
-        let first_try = if new.client_retry { self.patience[class] } else { new.remaining };
-        self.patience[class] = first_try;
+    fn spent(&mut self, new: &NewRequest, class: Option<usize>, deadline: Duration) -> Duration {
+        let Some(patience) = class.and_then(|class| self.patience.get_mut(class)) else {
+            return Duration::ZERO;
+        };
+        let first_try = if new.client_retry { *patience } else { new.remaining };
+        *patience = first_try;
         let like_first = new.remaining.abs_diff(first_try) < first_try / 64;
         if like_first { Duration::ZERO } else { deadline.saturating_sub(new.remaining) }
     }
@@ -499,12 +507,12 @@
     }
 
     /// A request's worth against that of the usual one. What the worst class weighs is spread over all.
-    fn value(&mut self, class: usize, tenant: usize) -> f64 {
+    fn value(&mut self, worth: f64, tenant: usize) -> f64 {
         let rate = |tenant: &Tenant| tenant.allowance_per_s / f64::from(self.settings.nodes.max(1));
         let (rate, now) = (self.settings.tenants.get(tenant).map_or(0.0, rate), self.now);
         let over = self.allowances.get_mut(tenant).is_some_and(|allowance| !allowance.take(now, rate));
         let share = if over { self.settings.over_share_worth } else { 1.0 };
-        let (goal, worth) = (&self.settings.goal, self.settings.classes[class].worth * share);
+        let (goal, worth) = (&self.settings.goal, worth * share);
         self.usual_worth += (worth - self.usual_worth) * SMOOTH / 8.0;
         let even = self.usual_worth * goal.worst_class / goal.whole.max(SMOOTH);
         ((worth + even) / (self.usual_worth + even).max(1e-9)).clamp(0.0, 1e3)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -75,6 +75,26 @@
     pub idle_close: Duration,
 }
 
+impl Site {
+    /// Zones and machine kinds keep the numbers that they had under earlier settings, whose servers are listed.
+    pub fn number_as(&mut self, earlier: &Site) {
+        let zone = self.zone_names.get(usize::from(self.settings.zone)).cloned();
+        for (names, before) in
+            [(&mut self.zone_names, &earlier.zone_names), (&mut self.kind_names, &earlier.kind_names)]
+        {
+            let added = names.iter().filter(|name| !before.contains(name));
+            *names = before.iter().chain(added).cloned().collect();
+        }
+        let zone = zone.and_then(|zone| self.zone_names.iter().position(|name| *name == zone));
+        self.settings.zone = zone.and_then(|zone| u8::try_from(zone).ok()).unwrap_or(self.settings.zone);
+    }
+}
+
+/// Where each of these names stood among the earlier ones.
+pub fn places(names: &[String], earlier: &[String]) -> Vec<Option<usize>> {
+    names.iter().map(|name| earlier.iter().position(|old| old == name)).collect()
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Idempotency {
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,16 +33,24 @@
 
 impl Server {
     /// An attempt has ended; one that was cut short has missed nothing. `over` is the memory of rates.
-    pub fn ended(&mut self, class: usize, outcome: Outcome, cut_short: bool, now: Duration, over: f64) {
+    pub fn ended(
+        &mut self,
+        class: Option<usize>,
+        outcome: Outcome,
+        cut_short: bool,
+        now: Duration,
+        over: f64,
+    ) {
         self.out = self.out.saturating_sub(1);
         match outcome {
             Outcome::Served => {
-                self.missed.remove(&class);
+                class.and_then(|class| self.missed.remove(&class));
                 self.missed.values_mut().for_each(|(_, serves)| *serves = true);
             }
             Outcome::TimedOut | Outcome::Cancelled if cut_short => {}
             Outcome::Rejected | Outcome::Error | Outcome::TimedOut | Outcome::Cancelled => {
-                self.missed.entry(class).or_default().0.add(now, over, 1.0);
+                let missed = class.map(|class| self.missed.entry(class).or_default());
+                missed.into_iter().for_each(|(missed, _)| missed.add(now, over, 1.0));
             }
             _ => {}
         }
@@ -67,7 +75,9 @@
 /// A request that is owed an answer, or some of whose attempts are still out.
 #[derive(Default)]
 pub struct Request {
-    pub class: usize,
+    /// Where its class stands in the settings, if they still hold it.
+    pub class: Option<usize>,
+    pub terms: Terms,
     /// Its work in units of the usual request's.
     pub weight: f64,
     /// Its worth against that of the usual request.
@@ -199,4 +209,27 @@
             settings,
         }
     }
+
+    /// Takes new settings. What is kept by class or tenant goes where that stands now, and with it if it is gone.
+    pub(crate) fn resettle(&mut self, new: Settings, classes: &[Option<usize>], tenants: &[Option<usize>]) {
+        for server in self.servers.values_mut() {
+            let mut old = std::mem::take(&mut server.missed);
+            let moved = classes.iter().enumerate();
+            let moved = moved.filter_map(|(now, before)| Some((now, old.remove(&(*before)?)?)));
+            server.missed = moved.collect();
+        }
+        for request in self.requests.values_mut() {
+            request.class = request.class.and_then(|old| classes.iter().position(|c| *c == Some(old)));
+        }
+        let deadline = |settings: &Settings, class: usize| settings.classes.get(class).map(|c| c.deadline);
+        let patience = classes.iter().enumerate().map(|(now, before)| {
+            // Clients of a class with another deadline wait for another time.
+            let before = before.filter(|old| deadline(&self.settings, *old) == deadline(&new, now));
+            before.and_then(|old| self.patience.get(old)).copied().unwrap_or_default()
+        });
+        self.patience = patience.collect();
+        let allowance = |old: &Option<usize>| old.and_then(|old| self.allowances.get(old)).copied();
+        self.allowances = tenants.iter().map(|old| allowance(old).unwrap_or_default()).collect();
+        self.settings = new;
+    }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -855,3 +855,61 @@
     let reached: usize = (0..2).map(|server| met.get(&server).copied().unwrap_or(0)).sum();
     assert!(reached > 150, "{met:?}");
 }
+
+// ---- New settings -------------------------------------------------------------------------------
+
+#[test]
+fn an_open_request_keeps_the_rules_that_it_came_under() {
+    let mut world = World::with_servers(settings(), 6);
+    let ((safe, _), (once, _)) = (world.request(0), world.request(1));
+    // The classes change places, one is new, and there is one attempt from now on.
+    world.resettle(&[None, Some(1), Some(0)], class(Repeat::Unsafe), 1);
+    assert_eq!(sent_to(&world.end(safe, 0, Outcome::Error, None)).len(), 1, "safe, and with attempts left");
+    assert!(failed(&world.end(once, 0, Outcome::Error, None)), "once it may have run it is not sent again");
+    let ((new, _), (safe, _)) = (world.request(0), world.request(2));
+    assert!(failed(&world.end(new, 0, Outcome::Error, None)), "the new class is not safe to repeat");
+    assert!(refused(&world.end(safe, 0, Outcome::Error, None)), "its only attempt is over");
+}
+
+#[test]
+fn a_request_of_a_dropped_class_goes_by_the_rules_that_it_brings() {
+    let mut world = World::with_servers(settings(), 6);
+    let max_attempts = world.settings.limits.max_attempts;
+    let terms = Terms { class: class(Repeat::Unsafe), max_attempts };
+    let (open, _) = world.request(1);
+    world.resettle(&[Some(0)], class(Repeat::Safe), 1);
+    assert!(failed(&world.end(open, 0, Outcome::Error, None)));
+    let new = NewRequest {
+        id: RequestId(1000),
+        class: usize::MAX,
+        terms: Some(terms),
+        remaining: ms(1000),
+        ..NewRequest::default()
+    };
+    assert_eq!(sent_to(&world.take(new)).len(), 1);
+    assert!(failed(&world.end(RequestId(1000), 0, Outcome::Error, None)));
+}
+
+#[test]
+fn what_is_known_of_a_class_moves_along_with_it() {
+    let mut world = World::with_servers(probing(), 4);
+    play_classes(&mut world, 200, None);
+    play_classes(&mut world, 400, Some(Outcome::Rejected));
+    // How many of 40 requests go to servers 0 and 1, which are broken for class 1 and for no other.
+    let sick = |world: &mut World, class: usize| {
+        let one = |world: &mut World| {
+            let (id, _) = world.request(class);
+            world.pass(ms(1));
+            world.answer_probes(&[0, 1, 2, 3]);
+            world.pass(ms(9));
+            let to = world.server_of(id, 0).0;
+            world.end(id, 0, Outcome::Cancelled, None);
+            to
+        };
+        (0..40).filter(|_| one(world) < 2).count()
+    };
+    world.resettle(&[Some(1), None, Some(0)], class(Repeat::Safe), 3);
+    let (broken, new, sound) = (sick(&mut world, 0), sick(&mut world, 1), sick(&mut world, 2));
+    assert!(broken < 5, "{broken} of the class that stood at 1");
+    assert!(new > 10 && sound > 10, "{new} of the class that stands there now, {sound} of the one before it");
+}
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -28,6 +28,7 @@
         let new = NewRequest {
             id,
             class: 0,
+            terms: None,
             tenant: 0,
             key: number,
             remaining: ms(900),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -285,7 +285,7 @@
     node.logged("all stays as it was");
     assert_eq!(node.client().read().body, b"old");
     let after = Discovery::start();
-    node.reload(&config(after.address, &settings(LONG, ""), 1024));
+    node.reload(&with_ops(&config(after.address, &settings(LONG, ""), 1024)));
     let mut watch = after.call();
     assert!(watch.start.contains("stream=1&index=8 "), "from the list it has: {}", watch.start);
     assert_eq!(node.client().read().body, b"old");
--- a/tests/operations/mod.rs
+++ b/tests/operations/mod.rs
@@ -125,3 +125,87 @@
     assert_eq!(back.answer().expect("an answer").header("connection"), Some("close"));
     assert_eq!(node.exit().code(), Some(0));
 }
+
+// ---- New settings -------------------------------------------------------------------------------
+
+#[test]
+fn new_settings_hold_for_new_requests_and_old_ones_for_open_ones() {
+    let (go, gate) = channel::<()>();
+    let gate = Arc::new(Mutex::new(gate));
+    let held = |m: &Message| m.start.contains("/read/hold") || m.start.contains("/correct/hold");
+    let backends = [0, 1, 2].map(|_| {
+        let gate = gate.clone();
+        Backend::start(move |message| {
+            if held(message) {
+                let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+                return Reply::Answer("500 Oops", "", vec![]);
+            }
+            ok("fine")
+        })
+    });
+    let all = || backends.iter().map(Backend::count).sum::<usize>();
+    let before = settings(LONG, "");
+    let (node, _watch, discovery) = serving(&before, &backends.each_ref());
+    let (mut safe, mut once) = (node.client(), node.client());
+    safe.send("GET /read/hold", &common(LONG), b"");
+    once.send("POST /correct/hold", &common(LONG), b"sheet");
+    until(|| all() == 2, "both requests at backends");
+
+    // `read` is no longer safe, `correct` is dropped, `count` is new and comes first, and one attempt is left.
+    let class = |name: &str, kind: &str| {
+        format!(
+            r#"{{"Name":"{name}","Target":{LONG},"GiveUp":{LONG},"Idempotency":"{kind}","Group":"zone","Window":60000}}"#
+        )
+    };
+    let classes =
+        [class("count", "free"), class("submit", "guarded"), class("read", "single_shot")].join(",");
+    let start = before.find(r#""Classes":["#).expect("classes");
+    let end = before.find(r#","Projects""#).expect("what follows");
+    let after = format!(r#"{}"Classes":[{classes}]{}"#, &before[..start], &before[end..]);
+    let after = after.replace(r#""AttemptsCap":3"#, r#""AttemptsCap":1"#);
+    node.reload(&with_ops(&config(discovery.address, &after, 1024)));
+    node.logged("classes are count, submit, read");
+    let mut client = node.client();
+    assert_eq!(client.ask("GET /count/1", &common(LONG), b"").body, b"fine");
+    assert_eq!(client.ask("GET /read/1", &common(LONG), b"").status(), 405);
+    assert_eq!(client.ask("POST /read/1", &common(LONG), b"").body, b"fine");
+    assert_eq!(client.ask("POST /correct/1", &common(LONG), b"").status(), 404);
+
+    // What was open: `read` may be sent to the two others too, `correct` to nobody.
+    let served = all();
+    (0..4).for_each(|_| go.send(()).expect("a backend waits"));
+    assert!(![200, 429, 503].contains(&once.answer().expect("an answer").status()));
+    assert_eq!(safe.answer().expect("an answer").status(), 503);
+    assert_eq!(all(), served + 2);
+}
+
+#[test]
+fn a_file_that_is_no_good_changes_nothing_and_a_good_one_after_it_is_taken() {
+    let backend = Backend::start(|_| ok("fine"));
+    let (node, _watch, discovery) = serving(&settings(LONG, ""), &[&backend]);
+    let good = with_ops(&config(discovery.address, &settings(LONG, ""), 1024).replace("correct", "amend"));
+    let deadline = format!(r#""GiveUp":{LONG}"#);
+    let moved = Discovery::start();
+    let bad = [
+        (String::new(), "EOF"),
+        (good[..good.len() / 2].to_owned(), "bad configuration"),
+        (good.replace(r#""AttemptsCap":3,"#, ""), "AttemptsCap is missing"),
+        (good.replace(&deadline, r#""GiveUp":0"#), "not over 0"),
+        // Not even where discovery is.
+        (
+            good.replace(r#""AttemptsCap":3"#, r#""AttemptsCap":0"#)
+                .replace(&discovery.address.to_string(), &moved.address.to_string()),
+            "attempts are not over 0",
+        ),
+    ];
+    for (file, why) in &bad {
+        node.reload(file);
+        assert!(node.logged(why).contains("all stays as it was"), "{why}");
+        assert_eq!(node.client().correct().body, b"fine");
+        assert_eq!(node.client().ask("POST /amend/1", &common(LONG), b"").status(), 404);
+    }
+    node.reload(&good.replace(&discovery.address.to_string(), &moved.address.to_string()));
+    assert!(moved.call().start.contains("index=8 "), "both at once");
+    assert_eq!(node.client().ask("POST /amend/1", &common(LONG), b"").body, b"fine");
+    assert_eq!(node.client().ask("POST /correct/1", &common(LONG), b"").status(), 404);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -65,7 +65,9 @@
 }
 
 struct Taken {
-    class: usize,
+    /// The rules it came under.
+    repeat: Repeat,
+    max_attempts: u32,
     deadline: Duration,
     answered: bool,
     tries: Vec<Try>,
@@ -123,6 +125,19 @@
         actions
     }
 
+    /// Gives the node settings that hold these classes of before, by position, and `None` for one that is new.
+    pub fn resettle(&mut self, classes: &[Option<usize>], new: Class, max_attempts: u32) {
+        let of_before = |from: &Option<usize>| match from {
+            Some(from) => self.settings.classes[*from].clone(),
+            None => new.clone(),
+        };
+        self.settings.classes = classes.iter().map(of_before).collect();
+        self.settings.limits.max_attempts = max_attempts;
+        let settings = Box::new(self.settings.clone());
+        let event = Event::Settings { settings, classes: classes.to_vec(), tenants: Vec::new() };
+        assert_eq!(self.tell(event), []);
+    }
+
     pub fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) -> Vec<Action> {
         let now = self.now;
         if matches!(kind, ListKind::Full | ListKind::Cached) {
@@ -149,13 +164,18 @@
     ) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next_id);
         self.next_id += 1;
-        (id, self.take(NewRequest { id, class, tenant, key: 0, remaining, cost, client_retry: false }))
+        (id, self.take(NewRequest { id, class, tenant, remaining, cost, ..NewRequest::default() }))
     }
 
     /// Lets the node take a request.
     pub fn take(&mut self, new: NewRequest) -> Vec<Action> {
         let deadline = self.now + new.remaining;
-        let taken = Taken { class: new.class, deadline, answered: false, tries: Vec::new() };
+        let (classes, limits) = (&self.settings.classes, &self.settings.limits);
+        let (repeat, max_attempts) = match &new.terms {
+            Some(terms) => (terms.class.repeat, terms.max_attempts),
+            None => (classes[new.class].repeat, limits.max_attempts),
+        };
+        let taken = Taken { repeat, max_attempts, deadline, answered: false, tries: Vec::new() };
         self.requests.insert(new.id, taken);
         self.tell(Event::Request(new))
     }
@@ -252,7 +272,7 @@
                 let taken = self.requests.get_mut(id).expect("rule 1: refuses what it was not given");
                 assert!(!taken.answered, "rule 1: a second answer for {id:?}");
                 let ran = taken.tries.iter().any(|t| !t.outcome.is_some_and(proves_no_run));
-                let allowed = match self.settings.classes[taken.class].repeat {
+                let allowed = match taken.repeat {
                     Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
                     _ => !ran,
                 };
@@ -291,13 +311,13 @@
         let grace = self.settings.rules.drain_grace;
         assert!(stop.is_none_or(|at| self.now <= at + grace), "rule 3: {to:?} drains or is gone");
         let limits = &self.settings.limits;
-        assert!(taken.tries.len() < limits.max_attempts as usize, "too many attempts");
+        assert!(taken.tries.len() < taken.max_attempts as usize, "too many attempts");
         let parallel = taken.tries.iter().any(|t| t.outcome.is_none());
         assert!(!parallel || limits.parallel_attempts, "two attempts at once");
         let ran = taken.tries.iter().find(|t| !t.outcome.is_some_and(proves_no_run));
         if let Some(first) = ran {
             let home = &self.told[&first.server].0;
-            let allowed = match self.settings.classes[taken.class].repeat {
+            let allowed = match taken.repeat {
                 Repeat::Safe => true,
                 Repeat::Unsafe => false,
                 Repeat::Keyed { scope, window } => {
