Pass the listening socket on to a process that starts beside one that serves

Its log showed the old process leaving 50 ms before idle clients were sent off, where it does not wait for late connections: the end now keeps to one moment after SIGTERM in both cases. The tests fail without the change: no socket is passed, and the second process cannot listen.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{Config, Current};
 use crate::discovery::Backend;
+use crate::handover::Pair;
 use crate::node::Forward;
 use crate::{Clock, log};
 use bytes::Bytes;
@@ -120,16 +121,18 @@
     open: Rc<Cell<usize>>,
     most_open: usize,
     current: Current,
+    pair: Rc<Pair>,
 }
 
 impl Pool {
-    pub fn start(clock: Clock, config: &Config, current: Current) -> Rc<Self> {
+    pub fn start(clock: Clock, config: &Config, current: Current, pair: Rc<Pair>) -> Rc<Self> {
         let pool = Rc::new(Pool {
             clock,
             places: RefCell::default(),
             open: Rc::default(),
             most_open: config.backend_connections,
             current,
+            pair,
         });
         let sweeper = pool.clone();
         spawn_local(async move {
@@ -221,7 +224,7 @@
                 let address = place.address.ok_or(Outcome::NotSent)?;
                 let epoch = place.epoch;
                 drop(places);
-                if self.open.get() >= self.most_open && !self.close_longest_idle() {
+                if self.open.get() >= self.pair.share(self.most_open) && !self.close_longest_idle() {
                     log("no connection is left for an attempt: it was not sent");
                     return Err(Outcome::NotSent);
                 }
@@ -521,7 +524,7 @@
         LocalSet::new().block_on(&runtime, async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let config = Config::parse(CONFIG).expect("good");
-            let pool = Pool::start(Clock::start(), &config, Current::new(config.site.clone()));
+            let pool = Pool::start(Clock::start(), &config, Current::new(config.site.clone()), Rc::default());
             let entry = ServerEntry { id: SERVER, state: ServerState::Ready, ..ServerEntry::default() };
             let backend = Backend { entry, address: listener.local_addr().expect("its address") };
             pool.update(ListKind::Full, std::slice::from_ref(&backend), pool.clock.now());
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -3,6 +3,7 @@
 use crate::Clock;
 use crate::backend::BODY_LIMIT;
 use crate::config::{Config, Current};
+use crate::handover::Pair;
 use crate::lifecycle::{ACCEPT_ON, LAST_WORDS, Lifecycle, Phase, State};
 use crate::log;
 use crate::node::{Answer, Forward, Message, Taken};
@@ -37,6 +38,8 @@
 const READ_BUFFER: usize = 32 * 1024;
 /// After an accept that failed for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// How soon after it holds a list a process takes up clients beside another.
+const READY_PAUSE: Duration = Duration::from_millis(5);
 const LONGEST_BUDGET_MS: u64 = 600_000;
 const LONGEST_ID: usize = 256;
 
@@ -48,12 +51,19 @@
     close: Notify,
 }
 
+/// How the node stands as a whole.
+pub struct Node {
+    /// Whether it holds a list of backends.
+    pub ready: Rc<Cell<bool>>,
+    pub lifecycle: Rc<Lifecycle>,
+    pub pair: Rc<Pair>,
+}
+
 pub struct Front {
     clock: Clock,
     current: Current,
     messages: mpsc::Sender<Message>,
-    ready: Rc<Cell<bool>>,
-    lifecycle: Rc<Lifecycle>,
+    node: Node,
     /// The last number that a request or a connection was given.
     numbers: Cell<u64>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
@@ -73,15 +83,13 @@
         config: &Config,
         current: Current,
         messages: mpsc::Sender<Message>,
-        ready: Rc<Cell<bool>>,
-        lifecycle: Rc<Lifecycle>,
+        node: Node,
     ) -> Rc<Self> {
         Rc::new(Front {
             clock,
             current,
             messages,
-            ready,
-            lifecycle,
+            node,
             numbers: Cell::new(0),
             clients: RefCell::default(),
             most_clients: config.client_connections,
@@ -93,19 +101,24 @@
     /// Serves clients until the node terminates, then ends in good order.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         spawn_local(self.clone().see_out());
-        let mut phase = self.lifecycle.watch();
+        let mut phase = self.node.lifecycle.watch();
         tokio::select! {
-            () = self.accept(&listener) => {}
+            () = self.take_up(&listener) => {}
             _ = phase.wait_for(|phase| phase.state == State::Terminating) => {}
         }
-        let _ = timeout(ACCEPT_ON, self.accept(&listener)).await;
+        // A successor accepts from the same queue, and nothing in it is lost when this process lets go of it.
+        if !self.node.pair.has_successor() {
+            let _ = timeout(ACCEPT_ON, self.accept(&listener)).await;
+        }
         self.serve_waiting();
         // A connection that waits in the queue may hold a request already: closing the listener would reset it.
-        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        while !self.node.pair.has_successor()
+            && let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await
+        {
             self.serve(stream);
         }
         drop(listener);
-        sleep(LAST_WORDS).await;
+        sleep_until(self.node.lifecycle.now().since + ACCEPT_ON + LAST_WORDS).await;
         let all_left = async {
             while !self.clients.borrow().is_empty() {
                 self.left.notified().await;
@@ -122,7 +135,7 @@
     /// Whenever the node drains, for whatever reason: clients leave on an answer that says so, and who has not
     /// asked for anything by the end of the grace is sent off.
     async fn see_out(self: Rc<Self>) {
-        let mut phase = self.lifecycle.watch();
+        let mut phase = self.node.lifecycle.watch();
         while let Ok(Phase { since, .. }) = phase.wait_for(|phase| phase.drains()).await.map(|phase| *phase) {
             tokio::select! {
                 () = sleep_until(since + ACCEPT_ON + LAST_WORDS) => {
@@ -134,6 +147,14 @@
         }
     }
 
+    /// Beside a process that serves, clients are left to it until this one can serve them as well.
+    async fn take_up(self: &Rc<Self>, listener: &TcpListener) {
+        while self.node.pair.has_predecessor() && !self.node.ready.get() {
+            sleep(READY_PAUSE).await;
+        }
+        self.accept(listener).await;
+    }
+
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
             if self.waiting.borrow().is_none() {
@@ -147,7 +168,7 @@
                     }
                 }
             }
-            while self.waiting.borrow().is_some() && self.clients.borrow().len() >= self.most_clients {
+            while self.waiting.borrow().is_some() && self.is_full() {
                 // Between requests a node may close a connection: the longest idle one makes room.
                 self.close_longest_idle();
                 self.left.notified().await;
@@ -156,6 +177,10 @@
         }
     }
 
+    fn is_full(&self) -> bool {
+        self.clients.borrow().len() >= self.node.pair.share(self.most_clients).max(1)
+    }
+
     fn serve_waiting(self: &Rc<Self>) {
         let waiting = self.waiting.borrow_mut().take();
         waiting.into_iter().for_each(|stream| self.serve(stream));
@@ -216,10 +241,10 @@
             Err((status, text)) => plain(status, Bytes::from_static(text.as_bytes())),
         };
         client.idle.set(Some(Instant::now()));
-        if self.clients.borrow().len() >= self.most_clients {
+        if self.is_full() {
             self.left.notify_one(); // whoever waits to come in finds this one idle
         }
-        if self.lifecycle.now().drains() {
+        if self.node.lifecycle.now().drains() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -233,7 +258,7 @@
         let body = read(body, until).await;
         let at = self.clock.now();
         if head.uri.path() == "/health/ready" {
-            let ready = self.ready.get() && !self.lifecycle.now().drains();
+            let ready = self.node.ready.get() && !self.node.lifecycle.now().drains();
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return Ok(plain(status, Bytes::new()));
         }
@@ -410,8 +435,10 @@
         LocalSet::new().block_on(&runtime, async {
             let config = Config::parse(CONFIG).expect("good");
             let (messages, _inbox) = mpsc::channel(16);
-            let (current, lifecycle) = (Current::new(config.site.clone()), Rc::new(Lifecycle::new()));
-            let front = Front::new(Clock::start(), &config, current, messages, Rc::default(), lifecycle);
+            let lifecycle = Rc::new(Lifecycle::new());
+            let node = Node { ready: Rc::default(), lifecycle, pair: Rc::default() };
+            let current = Current::new(config.site.clone());
+            let front = Front::new(Clock::start(), &config, current, messages, node);
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let mut peer =
                 TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a peer");
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -6,20 +6,23 @@
 mod config;
 mod discovery;
 mod front;
+mod handover;
 mod lifecycle;
 mod node;
 mod ops;
 
 use config::{Config, Current};
+use handover::Pair;
 use lifecycle::{Lifecycle, State};
 use node::Message;
 use std::fmt::Display;
 use std::io::{self, Write};
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
@@ -28,6 +31,9 @@
 /// Messages to the node that may wait. Each client connection keeps one place for its leaving.
 const MESSAGES: usize = 4096;
 
+/// Connections that may wait to be accepted.
+const QUEUE: u32 = 1024;
+
 /// A line for the operators. Nobody reading the log is no reason to stop serving.
 pub fn log(text: impl Display) {
     let _ = writeln!(io::stderr().lock(), "sillward: {text}");
@@ -76,8 +82,19 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(broken)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(broken)?;
     let hangup = signal(SignalKind::hangup()).map_err(broken)?;
-    let listener = TcpListener::bind(config.listen).await;
+    // Only a node that is operated has upgrades; elsewhere a second process for one address is a mistake.
+    let (pair, place) = (Rc::<Pair>::default(), config.ops.and_then(|_| handover::meeting_place()));
+    let taken = match &place {
+        Some(place) => handover::take_over(place, config.listen, &pair).await,
+        None => None,
+    };
+    let listener = taken.map_or_else(|| listen(config.listen, config.ops.is_some()), Ok);
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    if let Some(place) = place {
+        let socket = listener.as_fd().try_clone_to_owned();
+        let socket = socket.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+        tokio::task::spawn_local(handover::offer(place, socket, pair.clone()));
+    }
     let ops = match config.ops {
         Some(address) => Some(
             TcpListener::bind(address)
@@ -91,7 +108,7 @@
     let (messages, inbox) = mpsc::channel(MESSAGES);
     let (orders, discovery_orders) = mpsc::channel(16);
     let current = Current::new(config.site.clone());
-    let pool = backend::Pool::start(clock, &config, current.clone());
+    let pool = backend::Pool::start(clock, &config, current.clone(), pair.clone());
     let (moved, address) = watch::channel(config.discovery);
     let discovery = discovery::Discovery::new(&config, current.clone(), address, messages.clone());
     let ready = discovery.ready();
@@ -102,8 +119,7 @@
         &config,
         current.clone(),
         messages.clone(),
-        ready.clone(),
-        lifecycle.clone(),
+        front::Node { ready: ready.clone(), lifecycle: lifecycle.clone(), pair },
     );
     let mut node = tokio::task::spawn_local(node.run(inbox));
     let mut discovery = tokio::task::spawn_local(discovery.run(discovery_orders));
@@ -138,6 +154,17 @@
     }
 }
 
+/// Listens on an address, beside a process that could not pass its own socket on if that is to be.
+fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(address)?;
+    socket.listen(QUEUE)
+}
+
 /// On SIGHUP the configuration is read again. Where discovery is and the settings may change while a node runs, and
 /// nothing else: both at once, or neither.
 async fn reload(
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -363,7 +363,7 @@
         LocalSet::new().block_on(&runtime, async {
             let (clock, config) = (Clock::start(), Config::parse(CONFIG).expect("good"));
             let ((messages, _inbox), (orders, _orders)) = (mpsc::channel(16), mpsc::channel(16));
-            let pool = Pool::start(clock, &config, Current::new(config.site.clone()));
+            let pool = Pool::start(clock, &config, Current::new(config.site.clone()), Rc::default());
             test(Node::new(clock, &config, pool, messages, orders)).await
         });
     }
--- a/tests/operations/mod.rs
+++ b/tests/operations/mod.rs
@@ -3,8 +3,10 @@
 use crate::sockets::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
+use std::thread::spawn;
 
 const LONG: u64 = 20_000;
 
@@ -209,3 +211,78 @@
     assert_eq!(node.client().ask("POST /amend/1", &common(LONG), b"").body, b"fine");
     assert_eq!(node.client().ask("POST /correct/1", &common(LONG), b"").status(), 404);
 }
+
+// ---- Upgrades -----------------------------------------------------------------------------------
+
+#[test]
+fn a_process_started_beside_one_that_serves_takes_over_and_no_request_is_lost() {
+    let backend = Backend::start(|_| ok("fine"));
+    let (mut old, _watch, discovery) = serving(&settings(LONG, ""), &[&backend]);
+    let address = old.address;
+    let config = with_ops(&config(discovery.address, &settings(LONG, ""), 1024));
+    let config = config.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{address}""#));
+
+    // Clients that come and go all the time, and one that stays while it may.
+    let over = Arc::new(AtomicBool::new(false));
+    let asks = |stays: bool| {
+        let over = over.clone();
+        spawn(move || {
+            let mut client = None;
+            while !over.load(Ordering::SeqCst) {
+                let mut one = client.take().unwrap_or_else(|| Client::connect(address));
+                let answer = one.read();
+                // A node that has just started refuses what it would have to send to a crowded backend.
+                assert!([200, 503].contains(&answer.status()), "{answer:?}");
+                let goes = answer.headers.get("connection").is_some_and(|value| value == "close");
+                client = Some(one).filter(|_| stays && !goes);
+            }
+        })
+    };
+    let clients = [asks(false), asks(true), asks(false)];
+
+    let mut new = Node::start_in(&old.tmp, &config, "");
+    assert_eq!(new.address, address);
+    let mut watch = discovery.call();
+    assert_eq!(new.call("GET /status"), 503, "it has no list, and leaves the clients to the other");
+    watch.open();
+    watch.line(&list(8, true, &[entry("s-0", backend.address, "in_service")]));
+    until(|| new.call("GET /status") == 200, "a yes");
+    old.terminate();
+    assert_eq!(old.exit().code(), Some(0));
+    new.logged("the process before this one has gone");
+    // And once more: the successor has one too.
+    let mut third = Node::start_in(&old.tmp, &config, "");
+    let mut watch = discovery.call();
+    watch.open();
+    watch.line(&list(8, true, &[entry("s-0", backend.address, "in_service")]));
+    until(|| third.call("GET /status") == 200, "a yes");
+    new.terminate();
+    assert_eq!(new.exit().code(), Some(0));
+    let served = backend.count();
+    until(|| backend.count() > served + 50, "service by the last one");
+    over.store(true, Ordering::SeqCst);
+    for client in clients {
+        client.join().expect("every request is answered");
+    }
+    third.terminate();
+    assert_eq!(third.exit().code(), Some(0));
+}
+
+#[test]
+fn a_leftover_of_a_killed_process_does_not_stop_a_start() {
+    let discovery = Discovery::start();
+    let config = with_ops(&config(discovery.address, &settings(LONG, ""), 1024));
+    let first = Node::start(&config, "");
+    until(|| first.tmp.join("sillward.sock").exists(), "a place to meet");
+    let leftover = first.tmp.with_extension("left");
+    std::fs::rename(&first.tmp, &leftover).expect("a new name");
+    drop(first);
+    let second = Node::start_in(&leftover, &config, "");
+    let mut watch = discovery.call();
+    watch.open();
+    drop(watch);
+    let mut watch = discovery.call();
+    watch.open();
+    watch.line(&list(8, true, &[]));
+    until(|| second.is_ready(), "readiness");
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -231,6 +231,8 @@
 pub struct Node {
     child: Child,
     config: PathBuf,
+    /// Where its processes meet: a directory of its own.
+    pub tmp: PathBuf,
     pub address: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
 }
@@ -264,18 +266,33 @@
 
 impl Node {
     pub fn start(config: &str, shell: &str) -> Self {
+        // A short name: that of a Unix socket has a narrow bound.
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let tmp = std::env::temp_dir().join(format!("sw-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&tmp).expect("a directory");
+        Node::start_in(&tmp, config, shell)
+    }
+
+    pub fn start_in(tmp: &std::path::Path, config: &str, shell: &str) -> Self {
         let mut command = command(config, shell);
+        command.env("TMPDIR", tmp);
         let config = command.get_envs().find_map(|(name, value)| value.filter(|_| name == "PROXY_CONFIG"));
         let config = PathBuf::from(config.expect("its configuration"));
         let mut child = command.spawn().expect("the node starts");
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
-        let first = lines.next().expect("a first line");
-        let address = first.rsplit(' ').next().and_then(|address| address.parse().ok());
-        let address = address.unwrap_or_else(|| panic!("no address: {first}"));
-        let log = Arc::new(Mutex::new(Vec::new()));
+        let mut before = Vec::new();
+        let address = loop {
+            let line = lines.next().unwrap_or_else(|| panic!("no address: {before:?}"));
+            let address = line.contains(" listens on ").then(|| line.rsplit(' ').next()?.parse().ok());
+            before.push(line);
+            if let Some(address) = address.flatten() {
+                break address;
+            }
+        };
+        let log = Arc::new(Mutex::new(before));
         let kept = log.clone();
         spawn(move || lines.for_each(|line| kept.lock().expect("the log").push(line)));
-        Node { child, config, address, log }
+        Node { child, config, tmp: tmp.to_owned(), address, log }
     }
 
     pub fn client(&self) -> Client {
@@ -340,6 +357,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.tmp);
     }
 }
 
