--- a/src/bin/hillpick-benchlink/wire_tests.rs
+++ b/src/bin/hillpick-benchlink/wire_tests.rs
@@ -63,6 +63,7 @@
         id: RequestId(0x000f_b047_5d3a_91c4),
         class: 0,
         terms: None,
+        arriving: false,
         tenant: 0,
         key: 0x91f0_3b7c_55d2_0a64,
         remaining: ms(240.0),
@@ -130,6 +131,7 @@
         elapsed: ms(18.5),
         finished: true,
         report: None,
+        spent: false,
     };
     assert_eq!(input, Input::Event(Event::AttemptEnded(end), None));
 }
--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -1,15 +1,16 @@
 //! The backends' side: attempts, the pool of connections, probes.
 
+use crate::body::{KEPT, Outgoing, Piece, STALLED};
 use crate::config::{Config, Current};
 use crate::discovery::Backend;
 use crate::handover::Pair;
-use crate::node::Forward;
+use crate::node::{Forward, Message, Started};
 use crate::{Clock, log};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hillpick::settings::Column;
 use hillpick::{ListKind, LoadReport, Outcome, ReportSource, RequestId, ServerId, ServerState};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -20,15 +21,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
 const EADDRNOTAVAIL: i32 = 99;
-/// The most bytes of a body, either way.
-pub const BODY_LIMIT: usize = 64 * 1024;
 /// No head of an answer is longer; it also bounds what a connection may buffer.
 const READ_BUFFER: usize = 32 * 1024;
 /// A probe that is not answered by then tells nothing that is still true.
@@ -61,6 +60,8 @@
     pub outcome: Outcome,
     pub report: Option<LoadReport>,
     pub body: Option<Bytes>,
+    /// It has used up a body that is not kept.
+    pub spent: bool,
 }
 
 /// How a probe ended.
@@ -76,7 +77,7 @@
     server: ServerId,
     /// Which run of the backend, at which address, it leads to.
     epoch: u64,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     task: AbortHandle,
     open: Rc<Cell<usize>>,
 }
@@ -327,11 +328,16 @@
     }
 
     /// Makes an attempt, until it ends or is stopped.
-    pub async fn attempt(self: Rc<Self>, attempt: Attempt, stopped: oneshot::Receiver<Stop>) -> Ended {
+    pub async fn attempt(
+        self: Rc<Self>,
+        attempt: Attempt,
+        stopped: oneshot::Receiver<Stop>,
+        messages: mpsc::Sender<Message>,
+    ) -> Ended {
         let written = Cell::new(false);
         let (outcome, report, body) = tokio::select! {
             biased;
-            ended = self.exchange(&attempt, &written) => ended,
+            ended = self.exchange(&attempt, &written, &messages) => ended,
             // The exchange is dropped, and its connection closes.
             stop = stopped => (match stop {
                 _ if !written.get() => Outcome::NotSent,
@@ -339,13 +345,18 @@
                 Ok(Stop::Cancelled) | Err(_) => Outcome::Cancelled,
             }, None, None),
         };
-        Ended { id: attempt.id, number: attempt.number, outcome, report, body }
+        // It never ran if it was not written whole, whichever side broke it off.
+        let broken = matches!(outcome, Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled);
+        let outcome = if broken && attempt.forward.body.is_cut() { Outcome::NotSent } else { outcome };
+        let spent = attempt.forward.body.is_spent();
+        Ended { id: attempt.id, number: attempt.number, outcome, report, body, spent }
     }
 
     async fn exchange(
         self: &Rc<Self>,
         attempt: &Attempt,
         written: &Cell<bool>,
+        messages: &mpsc::Sender<Message>,
     ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
         for _ in 0..BROKEN_IN_A_ROW {
             let mut connection = match self.take(attempt.server).await {
@@ -362,10 +373,13 @@
             };
             written.set(true);
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return self.answered(attempt.server, connection, response).await,
+                Ok(response) => return self.served(attempt, connection, response, messages).await,
                 // Given back: not a byte of it was written, so another connection may have it.
                 Err(mut e) => match e.take_message() {
-                    Some(_) => written.set(false),
+                    Some(request) => {
+                        attempt.forward.body.put_back(request.into_body());
+                        written.set(false);
+                    }
                     None => return (Outcome::Reset, None, None),
                 },
             }
@@ -375,7 +389,7 @@
 
     /// The request as it is written now, if it may still be: not past its time, the backend's grace or the
     /// window in which backends drop its repeats, and not once it has its answer.
-    fn request(&self, attempt: &Attempt) -> Option<Request<Full<Bytes>>> {
+    fn request(&self, attempt: &Attempt) -> Option<Request<Outgoing>> {
         let (now, forward) = (self.clock.now(), &attempt.forward);
         let places = self.places.borrow();
         let place = places.get(&attempt.server)?;
@@ -385,12 +399,14 @@
         if forward.over.get() || now >= attempt.until || drained || forgotten {
             return None;
         }
-        let left = (attempt.until - now).as_millis().max(1) as u64;
-        let mut request = Request::new(Full::new(forward.body.clone()));
+        // Where the body still comes, the time begins with its last byte.
+        let left = (attempt.until - now).min(forward.budget).as_millis().max(1) as u64;
+        let address = place.address?;
+        let mut request = Request::new(forward.body.take()?);
         *request.method_mut() = forward.method.clone();
         *request.uri_mut() = forward.path.clone().into();
         let headers = request.headers_mut();
-        headers.insert(HOST, host(place.address?));
+        headers.insert(HOST, host(address));
         headers.insert("x-call-id", forward.call_id.clone());
         headers.insert("x-budget-ms", left.into());
         if let Some(key) = &forward.idempotency_key {
@@ -402,7 +418,78 @@
         Some(request)
     }
 
-    /// Reads the answer whole, so that a broken one is still an outcome and not a half answer to the client.
+    /// Reads what came back for an attempt. An answer that is not too long to be kept is read whole, so that a broken
+    /// one is still an outcome and not a half answer to the client.
+    async fn served(
+        &self,
+        attempt: &Attempt,
+        connection: Connection,
+        response: Response<Incoming>,
+        messages: &mpsc::Sender<Message>,
+    ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
+        let (head, mut body) = response.into_parts();
+        let length = body.size_hint().exact();
+        if head.status != StatusCode::OK || length.is_some_and(|length| length <= KEPT as u64) {
+            return self.answered(attempt.server, connection, Response::from_parts(head, body)).await;
+        }
+        let report = self.report_in(&head.headers);
+        // Perhaps it is long: then its first bytes are what counts, and half of the time is left for them.
+        let now = self.clock.now();
+        let until = attempt.until.min(attempt.forward.deadline.get());
+        let hold = self.clock.instant(now + until.saturating_sub(now) / 2);
+        let mut start = BytesMut::new();
+        while start.is_empty() || length.is_none() && start.len() <= KEPT {
+            let frame = match timeout_at(hold, body.frame()).await {
+                Err(_) if start.is_empty() => body.frame().await,
+                Err(_) => break,
+                Ok(frame) => frame,
+            };
+            match frame {
+                Some(Ok(frame)) => start.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                Some(Err(_)) => return (Outcome::Reset, None, None),
+                None => {
+                    self.put_after(attempt, connection);
+                    return (Outcome::Served, report, Some(start.freeze()));
+                }
+            }
+        }
+        let (passing, pieces) = mpsc::channel(1);
+        let started = Started { id: attempt.id, number: attempt.number, length, pieces };
+        if messages.send(Message::Started(started)).await.is_err() {
+            return (Outcome::Cancelled, report, None);
+        }
+        let mut piece = Piece::Data(start.freeze());
+        loop {
+            let ends = matches!(piece, Piece::End);
+            match timeout(STALLED, passing.send(piece)).await {
+                Ok(Ok(())) if ends => break,
+                Ok(Ok(())) => {}
+                // The client has left, or reads nothing more, or has had another answer.
+                Ok(Err(_)) | Err(_) => return (Outcome::Cancelled, report, None),
+            }
+            let frame = tokio::select! {
+                biased;
+                frame = timeout(STALLED, body.frame()) => frame,
+                () = passing.closed() => return (Outcome::Cancelled, report, None),
+            };
+            piece = match frame {
+                Ok(Some(Ok(frame))) => Piece::Data(frame.into_data().unwrap_or_default()),
+                Ok(None) => Piece::End,
+                Ok(Some(Err(_))) | Err(_) => return (Outcome::Reset, report, None),
+            };
+        }
+        self.put_after(attempt, connection);
+        (Outcome::Served, report, None)
+    }
+
+    /// A connection on which half a request has been written is of no more use.
+    fn put_after(&self, attempt: &Attempt, connection: Connection) {
+        if !attempt.forward.body.is_cut() {
+            self.put(connection);
+        }
+    }
+
+    /// Reads a short answer, whole.
     async fn answered(
         &self,
         server: ServerId,
@@ -411,10 +498,10 @@
     ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
         let (head, body) = response.into_parts();
         let report = self.report_in(&head.headers);
-        let body = match Limited::new(body, BODY_LIMIT).collect().await {
+        let body = match Limited::new(body, KEPT).collect().await {
             Ok(body) => body.to_bytes(),
             Err(e) if e.is::<LengthLimitError>() => {
-                log(format_args!("server {:x}: an answer over {BODY_LIMIT} bytes was dropped", server.0));
+                log(format_args!("server {:x}: an answer over {KEPT} bytes was dropped", server.0));
                 return (Outcome::Error, report, None);
             }
             Err(_) => return (Outcome::Reset, None, None),
@@ -441,7 +528,7 @@
             Ok(connection) => connection,
             Err(outcome) => return (outcome, None),
         };
-        let mut request = Request::new(Full::default());
+        let mut request = Request::new(Outgoing::Kept(Full::default()));
         *request.method_mut() = Method::GET;
         let reports = self.reports() != ReportSource::None;
         *request.uri_mut() = hyper::Uri::from_static(if reports { "/stats" } else { "/health/live" });
@@ -506,6 +593,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::node::Content;
     use hillpick::ServerEntry;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
@@ -542,8 +630,9 @@
                 path: hyper::http::uri::PathAndQuery::from_static("/submit/1"),
                 call_id: HeaderValue::from_static("1"),
                 idempotency_key: None,
-                body: Bytes::new(),
-                deadline: now + MINUTE,
+                body: Content::Kept(Bytes::new()),
+                budget: MINUTE,
+                deadline: Cell::new(now + MINUTE),
                 window: Some(MINUTE),
                 first_byte: Cell::new(None),
                 over: Cell::new(false),
@@ -558,7 +647,8 @@
                 let read = stream.read(&mut sent).await.unwrap_or_default();
                 String::from_utf8_lossy(&sent[..read]).into_owned()
             });
-            let ended = pool.clone().attempt(attempt, stopped).await;
+            let (messages, _inbox) = mpsc::channel(1);
+            let ended = pool.clone().attempt(attempt, stopped, messages).await;
             pool.close_idle(SERVER);
             (ended.outcome, served.await.expect("the backend's part"))
         })
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -1,23 +1,24 @@
 //! The clients' side: takes requests, checks them, and writes the final answers that the node gives.
 
 use crate::Clock;
-use crate::backend::BODY_LIMIT;
+use crate::body::{Download, KEPT, LONGEST, Patience, SILENCE, STALLED, Upload};
 use crate::config::{Config, Current};
 use crate::handover::Pair;
 use crate::lifecycle::{ACCEPT_ON, LAST_WORDS, Lifecycle, Phase, State};
 use crate::log;
-use crate::node::{Answer, Forward, Message, Taken};
+use crate::node::{Answer, Content, Forward, Message, Taken};
+use crate::watched::Watched;
 use bytes::{Bytes, BytesMut};
 use hillpick::settings::Site;
 use hillpick::{NewRequest, Repeat, RequestId, Terms};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -27,13 +28,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-/// Anyone may connect, and is owed an error or an end within 3 s: so long a head may take, a body, or both
-/// where they come first on a connection. One that has been idle for so long may be closed as well.
-const READ_TIMEOUT: Duration = Duration::from_millis(2500);
-/// How much of a body that is too long is read, so that its sender sees the answer and not a reset.
-const READ_PAST_LIMIT: usize = 16 * BODY_LIMIT;
+/// Anyone may connect, and is owed an error or an end within 3 s of that: so long the first request may be without
+/// progress, or a later head in all. A connection that has been idle for so long may be closed as well.
+const READ_TIMEOUT: Duration = SILENCE;
+/// Until its last byte has come, a request has no deadline; its sender's silence ends it.
+const ARRIVING: Duration = Duration::from_secs(86_400);
 /// What a connection may buffer: no head is longer.
 const READ_BUFFER: usize = 32 * 1024;
 /// After an accept that failed for want of descriptors.
@@ -43,14 +44,83 @@
 const LONGEST_BUDGET_MS: u64 = 600_000;
 const LONGEST_ID: usize = 256;
 
-struct Client {
-    /// Until when its first request must have come.
-    first: Cell<Option<Instant>>,
+/// A client's connection, as it stands.
+pub struct Client {
+    connected: Instant,
+    /// Whether a request has come on it.
+    asked: Cell<bool>,
     /// Since when no request of it is held.
     idle: Cell<Option<Instant>>,
+    /// Since when part of a further request has come.
+    begun: Cell<Option<Instant>>,
+    /// When bytes last moved on it, either way.
+    moved: Cell<Instant>,
     close: Notify,
 }
 
+/// What is to be done about a connection that sends nothing.
+enum Lapse {
+    /// Look again then.
+    Later(Instant),
+    /// It is between requests, and may be closed.
+    Leave,
+    /// It has had its time for a request, or for reading an answer.
+    Cut,
+}
+
+impl Client {
+    fn new() -> Self {
+        let now = Instant::now();
+        Client {
+            connected: now,
+            asked: Cell::new(false),
+            idle: Cell::new(Some(now)),
+            begun: Cell::new(None),
+            moved: Cell::new(now),
+            close: Notify::new(),
+        }
+    }
+
+    /// Bytes have come: the first ones after an answer begin another request.
+    pub fn read(&self) {
+        let now = Instant::now();
+        self.moved.set(now);
+        if self.idle.get().is_some() && self.begun.get().is_none() {
+            self.begun.set(Some(now));
+        }
+    }
+
+    pub fn written(&self) {
+        self.moved.set(Instant::now());
+    }
+
+    fn lapse(&self) -> Lapse {
+        let now = Instant::now();
+        let Some(idle) = self.idle.get() else { return Lapse::Later(now + READ_TIMEOUT) };
+        let (since, lapse) = match (self.asked.get(), self.begun.get()) {
+            (false, _) => (self.connected, Lapse::Cut),
+            (true, Some(begun)) => (begun, Lapse::Leave),
+            (true, None) => (idle, Lapse::Leave),
+        };
+        if now < since + READ_TIMEOUT { Lapse::Later(since + READ_TIMEOUT) } else { lapse }
+    }
+}
+
+/// As long as a request is held, its connection is not idle.
+struct Busy(Rc<Client>, Rc<Front>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.idle.set(Some(Instant::now()));
+        if self.1.is_full() {
+            self.1.left.notify_one(); // whoever waits to come in finds this one idle
+        }
+    }
+}
+
+/// What is written to a client.
+type Reply = Response<Either<Full<Bytes>, Download<Option<Busy>>>>;
+
 /// How the node stands as a whole.
 pub struct Node {
     /// Whether it holds a list of backends.
@@ -196,27 +266,31 @@
 
     fn serve(self: &Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let now = Instant::now();
-        let (first, idle) = (Cell::new(Some(now + READ_TIMEOUT)), Cell::new(Some(now)));
-        let client = Rc::new(Client { first, idle, close: Notify::new() });
+        let client = Rc::new(Client::new());
         let number = self.next();
         self.clients.borrow_mut().insert(number, client.clone());
         let front = self.clone();
         spawn_local(async move {
-            let service = service_fn(|request| front.clone().respond(&client, request));
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(READ_TIMEOUT)
-                .max_buf_size(READ_BUFFER)
-                .serve_connection(TokioIo::new(stream), service);
+            let service = service_fn(|request| front.clone().respond(client.clone(), request));
+            let stream = TokioIo::new(Watched::new(stream, client.clone()));
+            let mut server = http1::Builder::new();
+            let connection = server.max_buf_size(READ_BUFFER).serve_connection(stream, service);
             let mut connection = std::pin::pin!(connection);
+            let mut look = Instant::now();
             // Biased: a request that has come is read before the connection is told to close.
-            tokio::select! {
-                biased;
-                _ = connection.as_mut() => {}
-                () = client.close.notified() => {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.await;
+            loop {
+                tokio::select! {
+                    biased;
+                    _ = connection.as_mut() => break,
+                    () = client.close.notified() => connection.as_mut().graceful_shutdown(),
+                    () = sleep_until(look) => match client.lapse() {
+                        Lapse::Later(then) => look = then,
+                        Lapse::Leave if client.moved.get().elapsed() < STALLED => {
+                            connection.as_mut().graceful_shutdown();
+                            look = client.moved.get() + STALLED;
+                        }
+                        Lapse::Leave | Lapse::Cut => break,
+                    },
                 }
             }
             front.clients.borrow_mut().remove(&number);
@@ -231,18 +305,20 @@
 
     async fn respond(
         self: Rc<Self>,
-        client: &Client,
+        client: Rc<Client>,
         request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    ) -> Result<Reply, Infallible> {
         client.idle.set(None);
-        let until = client.first.take().unwrap_or_else(|| Instant::now() + READ_TIMEOUT);
-        let mut response = match self.handle(request, until).await {
+        client.begun.set(None);
+        let first = !client.asked.replace(true);
+        let since = if first { client.connected } else { Instant::now() };
+        let mut busy = Some(Busy(client, self.clone()));
+        let mut response = match self.handle(request, Patience::until(since + READ_TIMEOUT)).await {
             Ok(response) => response,
             Err((status, text)) => plain(status, Bytes::from_static(text.as_bytes())),
         };
-        client.idle.set(Some(Instant::now()));
-        if self.is_full() {
-            self.left.notify_one(); // whoever waits to come in finds this one idle
+        if let Either::Right(download) = response.body_mut() {
+            download.lasts = busy.take();
         }
         if self.node.lifecycle.now().drains() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -250,25 +326,44 @@
         Ok(response)
     }
 
-    async fn handle(&self, request: Request<Incoming>, until: Instant) -> Result<Response<Full<Bytes>>, Bad> {
+    async fn handle(&self, request: Request<Incoming>, mut patience: Patience) -> Result<Reply, Bad> {
         let (head, body) = request.into_parts();
         // The settings may change while the body comes: it is under those that held when it began.
         let site = self.current.get();
-        // Read whole before anything is said: an answer over an unread body would end as a reset.
-        let body = read(body, until).await;
+        let (body, rest) = read(body, &mut patience).await?;
         let at = self.clock.now();
         if head.uri.path() == "/health/ready" {
             let ready = self.node.ready.get() && !self.node.lifecycle.now().drains();
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return Ok(plain(status, Bytes::new()));
         }
-        let (mut new, forward) = self.check(&site, head, body?, at)?;
+        let checked = self.check(&site, head, body.is_empty() && rest.is_none(), at);
+        let (mut new, mut forward) = match checked {
+            Ok(checked) => checked,
+            Err(bad) => {
+                if let Some(rest) = rest {
+                    spawn_local(read_out(rest, patience));
+                }
+                return Err(bad);
+            }
+        };
         let (reply, answer) = oneshot::channel();
-        // The place for the news that the client has left is kept now: a drop can't wait for one.
-        let places = (self.messages.clone().reserve_owned().await, self.messages.reserve().await);
-        let (Ok(later), Ok(place)) = places else {
+        // The places for later news are kept now: neither a drop nor a body that is read can wait for one.
+        let place = async || self.messages.clone().reserve_owned().await;
+        let (Ok(left), Ok(arrived), Ok(place)) = (place().await, place().await, place().await) else {
             return Ok(plain(StatusCode::BAD_GATEWAY, Bytes::new()));
         };
+        let mut unread = None;
+        forward.body = match rest {
+            None => Content::Kept(body),
+            Some(rest) => {
+                (new.arriving, forward.deadline) = (true, Cell::new(at + ARRIVING));
+                let message = Message::Arrived(new.id);
+                let (upload, back) = Upload::new(body, rest, patience, arrived, message);
+                unread = Some(back);
+                Content::passing(upload)
+            }
+        };
         // From here to the sending nothing else happens: the module has the settings that hold now.
         let present = self.current.get();
         if !Rc::ptr_eq(&site, &present) {
@@ -278,12 +373,23 @@
             let tenant = site.tenant_names.get(new.tenant);
             new.tenant = tenant.map_or(0, |name| position(&present.tenant_names, name).unwrap_or(usize::MAX));
         }
-        let mut gone = Gone { id: new.id, place: Some(later) };
+        let mut gone = Gone { id: new.id, place: Some(left) };
         place.send(Message::Request(Box::new(Taken { new, at, forward, reply })));
         let answer = answer.await.unwrap_or(Answer::Failed);
         gone.place = None;
+        if let Some(unread) = unread {
+            // An answer over a body that is still being sent would end as a reset.
+            spawn_local(async move {
+                if let Ok((rest, patience)) = unread.await {
+                    read_out(rest, patience).await;
+                }
+            });
+        }
         Ok(match answer {
             Answer::Served(body) => plain(StatusCode::OK, body),
+            Answer::Serving(length, pieces) => {
+                Response::new(Either::Right(Download { pieces, length, lasts: None }))
+            }
             Answer::Refused(after) => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
                 let after = after.map(|after| format!("{:.3}", after.as_secs_f64()));
@@ -302,7 +408,7 @@
         &self,
         site: &Site,
         head: Parts,
-        body: Bytes,
+        empty: bool,
         at: Duration,
     ) -> Result<(NewRequest, Forward), Bad> {
         const BAD: StatusCode = StatusCode::BAD_REQUEST;
@@ -319,7 +425,7 @@
         if head.method != method {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method for this class"));
         }
-        if method == Method::GET && !body.is_empty() {
+        if method == Method::GET && !empty {
             return Err((BAD, "a body where none belongs"));
         }
         let window = match terms.repeat {
@@ -342,6 +448,7 @@
             id: RequestId(self.next()),
             class,
             terms: None,
+            arriving: false,
             tenant: tenant.unwrap_or_default(),
             key,
             remaining,
@@ -353,8 +460,9 @@
             path,
             call_id,
             idempotency_key,
-            body,
-            deadline: at + remaining,
+            body: Content::Kept(Bytes::new()),
+            budget: remaining,
+            deadline: Cell::new(at + remaining),
             window,
             first_byte: Cell::new(None),
             over: Cell::new(false),
@@ -377,24 +485,39 @@
     }
 }
 
-async fn read(mut body: Incoming, until: Instant) -> Result<Bytes, Bad> {
-    let (mut whole, mut length) = (BytesMut::new(), 0);
-    while let Some(frame) =
-        timeout_at(until, body.frame()).await.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "too slow"))?
-    {
-        let frame = frame.map_err(|_| (StatusCode::BAD_REQUEST, "broken body"))?;
-        let Ok(data) = frame.into_data() else { continue };
-        length += data.len();
-        if length > READ_PAST_LIMIT {
-            break;
-        } else if length <= BODY_LIMIT {
-            whole.extend_from_slice(&data);
+/// Reads what is kept of a body; with the rest if there is more than that.
+async fn read(mut body: Incoming, patience: &mut Patience) -> Result<(Bytes, Option<Incoming>), Bad> {
+    let mut whole = BytesMut::new();
+    if body.size_hint().lower() > LONGEST {
+        spawn_local(read_out(body, Patience::until(Instant::now() + READ_TIMEOUT)));
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 32 MiB"));
+    }
+    loop {
+        let asked = Instant::now();
+        let frame = timeout(patience.left(), body.frame()).await;
+        let frame = match frame.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "too slow"))? {
+            Some(frame) => frame.map_err(|_| (StatusCode::BAD_REQUEST, "broken body"))?,
+            None => return Ok((whole.freeze(), None)),
+        };
+        let data = frame.into_data().unwrap_or_default();
+        patience.came(asked.elapsed(), data.len());
+        whole.extend_from_slice(&data);
+        if whole.len() > KEPT {
+            return Ok((whole.freeze(), Some(body)));
         }
     }
-    if length > BODY_LIMIT {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"));
+}
+
+/// Reads a body to its end for nobody, as far as one may go, so that its sender sees the answer and not a reset.
+async fn read_out(mut body: Incoming, mut patience: Patience) {
+    let mut length = 0;
+    while length <= LONGEST {
+        let asked = Instant::now();
+        let Ok(Some(Ok(frame))) = timeout(patience.left(), body.frame()).await else { return };
+        let data = frame.into_data().unwrap_or_default();
+        patience.came(asked.elapsed(), data.len());
+        length += data.len() as u64;
     }
-    Ok(whole.freeze())
 }
 
 fn position(names: &[String], name: &str) -> Option<usize> {
@@ -414,8 +537,8 @@
     })
 }
 
-fn plain(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
+fn plain(status: StatusCode, body: Bytes) -> Reply {
+    let mut response = Response::new(Either::Left(Full::new(body)));
     *response.status_mut() = status;
     response
 }
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod backend;
+mod body;
 mod config;
 mod discovery;
 mod front;
@@ -10,6 +11,7 @@
 mod lifecycle;
 mod node;
 mod ops;
+mod watched;
 
 use config::{Config, Current};
 use handover::Pair;
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -2,16 +2,18 @@
 //! it decides nothing. Its request table alone gives final answers, and gives each exactly once.
 
 use crate::backend::{Attempt, Ended, Pool, ProbeEnded, Stop};
+use crate::body::{Outgoing, Piece, Upload};
 use crate::config::Config;
 use crate::discovery::{News, Order};
 use crate::{Clock, log};
 use bytes::Bytes;
 use hillpick::settings::{Site, places};
 use hillpick::*;
+use http_body_util::Full;
 use hyper::Method;
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::rc::Rc;
@@ -23,6 +25,9 @@
 /// What reaches the node.
 pub enum Message {
     Request(Box<Taken>),
+    /// The last byte of a long one has come.
+    Arrived(RequestId),
+    Started(Started),
     ClientGone(RequestId),
     Attempt(Ended),
     Probe(ProbeEnded),
@@ -39,24 +44,74 @@
     pub reply: oneshot::Sender<Answer>,
 }
 
+/// The first bytes of an answer that is too long to be kept; the rest follows in pieces.
+pub struct Started {
+    pub id: RequestId,
+    pub number: u32,
+    pub length: Option<u64>,
+    pub pieces: mpsc::Receiver<Piece>,
+}
+
 /// A final answer.
 #[derive(Debug)]
 pub enum Answer {
     Served(Bytes),
+    Serving(Option<u64>, mpsc::Receiver<Piece>),
     Refused(Option<Duration>),
     Failed,
     TimedOut,
 }
 
+/// A request's body.
+pub enum Content {
+    Kept(Bytes),
+    /// Too long for that: whoever takes it reads it from the client. It may be given back unread.
+    Passing(RefCell<Option<Box<Upload>>>, Rc<Cell<bool>>),
+}
+
+impl Content {
+    pub fn passing(upload: Upload) -> Self {
+        let read = upload.is_read();
+        Content::Passing(RefCell::new(Some(Box::new(upload))), read)
+    }
+
+    /// For an attempt to write; `None` if it has been used up.
+    pub fn take(&self) -> Option<Outgoing> {
+        match self {
+            Content::Kept(body) => Some(Outgoing::Kept(Full::new(body.clone()))),
+            Content::Passing(upload, _) => Some(Outgoing::Upload(upload.borrow_mut().take()?)),
+        }
+    }
+
+    /// Not a byte of it was written.
+    pub fn put_back(&self, body: Outgoing) {
+        if let (Content::Passing(upload, _), Outgoing::Upload(body)) = (self, body) {
+            *upload.borrow_mut() = Some(body);
+        }
+    }
+
+    /// An attempt has taken it, and it was not kept.
+    pub fn is_spent(&self) -> bool {
+        matches!(self, Content::Passing(upload, _) if upload.borrow().is_none())
+    }
+
+    /// Its last byte has not been passed on yet, and will not be if the attempt has ended.
+    pub fn is_cut(&self) -> bool {
+        matches!(self, Content::Passing(_, read) if !read.get())
+    }
+}
+
 /// What all attempts of a request share: what goes on unchanged, and what binds them.
 pub struct Forward {
     pub method: Method,
     pub path: PathAndQuery,
     pub call_id: HeaderValue,
     pub idempotency_key: Option<HeaderValue>,
-    pub body: Bytes,
-    /// When the client stops waiting.
-    pub deadline: Duration,
+    pub body: Content,
+    /// How long the client waits once its request has come.
+    pub budget: Duration,
+    /// When it stops waiting: late, while its request is still coming.
+    pub deadline: Cell<Duration>,
     /// How long backends remember a keyed request, from the first byte of the first attempt.
     pub window: Option<Duration>,
     pub first_byte: Cell<Option<Duration>>,
@@ -79,6 +134,8 @@
     sent: Duration,
     /// The way to stop it, until it has ended.
     stop: Option<oneshot::Sender<Stop>>,
+    /// How long its answer took to start, where that is passed on as it comes: it has no time-out any more.
+    started: Option<Duration>,
     ended: bool,
 }
 
@@ -175,6 +232,8 @@
                 self.decide(Event::ClientGone { id });
                 self.forget(id);
             }
+            Message::Arrived(id) => self.on_arrived(id),
+            Message::Started(started) => self.on_started(started),
             Message::Attempt(ended) => self.on_attempt(ended),
             Message::Probe(ProbeEnded { server, outcome, sent, report }) => {
                 let elapsed = self.clock.now().saturating_sub(sent);
@@ -197,11 +256,12 @@
 
     fn on_request(&mut self, taken: Box<Taken>) {
         let Taken { mut new, at, forward, reply } = *taken;
-        let (id, deadline) = (new.id, forward.deadline);
+        let (id, deadline) = (new.id, forward.deadline.get());
         let waited = self.clock.now().saturating_sub(at);
         new.remaining = new.remaining.saturating_sub(waited);
-        // A tick early: the answer is to be with the client before it gives up.
-        self.set(deadline.saturating_sub(self.site.settings.tick), Due::Deadline(id));
+        if !new.arriving {
+            self.set_deadline(id, deadline);
+        }
         let max_attempts =
             new.terms.as_ref().map_or(self.site.settings.limits.max_attempts, |terms| terms.max_attempts);
         let held = Held {
@@ -214,11 +274,39 @@
         self.decide(Event::Request(new));
     }
 
+    /// A tick early: the answer is to be with the client before it gives up.
+    fn set_deadline(&mut self, id: RequestId, deadline: Duration) {
+        self.set(deadline.saturating_sub(self.site.settings.tick), Due::Deadline(id));
+    }
+
+    fn on_arrived(&mut self, id: RequestId) {
+        let now = self.clock.now();
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let deadline = now + held.forward.budget;
+        held.forward.deadline.set(deadline);
+        // How long a client took to send it says nothing of the backend.
+        held.attempts.iter_mut().for_each(|out| out.sent = now);
+        self.set_deadline(id, deadline);
+        self.decide(Event::Arrived { id });
+    }
+
+    /// The answer belongs to the client from its first bytes on. Where that has had another, nobody takes the pieces.
+    fn on_started(&mut self, started: Started) {
+        let Started { id, number, length, pieces } = started;
+        let now = self.clock.now();
+        let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
+        let Some(out) = held.attempts.get_mut(number as usize) else { return };
+        out.started = Some(now.saturating_sub(out.sent));
+        let server = out.server;
+        held.answer(Answer::Serving(length, pieces));
+        self.decide(Event::Started { id, attempt: number, server });
+    }
+
     fn on_attempt(&mut self, ended: Ended) {
         let Some(held) = self.held.get_mut(&ended.id) else { return };
         let Some(out) = held.attempts.get_mut(ended.number as usize) else { return };
         (out.ended, out.stop) = (true, None);
-        let (server, sent) = (out.server, out.sent);
+        let (server, sent, started) = (out.server, out.sent, out.started);
         // The first served answer is the client's; a later one only informs the module.
         if let Some(body) = ended.body {
             held.answer(Answer::Served(body));
@@ -229,9 +317,10 @@
             attempt: ended.number,
             server,
             outcome: ended.outcome,
-            elapsed: self.clock.now().saturating_sub(sent),
+            elapsed: started.unwrap_or_else(|| self.clock.now().saturating_sub(sent)),
             finished,
             report: ended.report,
+            spent: ended.spent,
         }));
         self.forget(ended.id);
     }
@@ -290,9 +379,9 @@
         let now = self.clock.now();
         let held = self.held.get_mut(&id)?;
         let (number, finished) = (held.attempts.len() as u32, held.reply.is_none());
-        let deadline = held.forward.deadline;
+        let deadline = held.forward.deadline.get();
         if finished || now >= deadline || held.attempts.len() >= held.max_attempts {
-            held.attempts.push(Out { server, sent: now, stop: None, ended: true });
+            held.attempts.push(Out { server, sent: now, stop: None, started: None, ended: true });
             return Some(Event::AttemptEnded(AttemptEnd {
                 id,
                 attempt: number,
@@ -301,16 +390,19 @@
                 elapsed: Duration::ZERO,
                 finished,
                 report: None,
+                spent: false,
             }));
         }
         let until = if timeout.is_zero() { deadline } else { deadline.min(now + timeout) };
         let (stop, stopped) = oneshot::channel();
         let attempt = Attempt { id, number, server, until, forward: held.forward.clone() };
-        held.attempts.push(Out { server, sent: now, stop: Some(stop), ended: false });
-        self.set(until, Due::Attempt(id, number));
+        held.attempts.push(Out { server, sent: now, stop: Some(stop), started: None, ended: false });
+        if !attempt.forward.body.is_cut() {
+            self.set(until, Due::Attempt(id, number)); // one that still comes is timed once it is there
+        }
         let (pool, messages) = (self.pool.clone(), self.messages.clone());
         spawn_local(async move {
-            let ended = pool.attempt(attempt, stopped).await;
+            let ended = pool.attempt(attempt, stopped, messages.clone()).await;
             let _ = messages.send(Message::Attempt(ended)).await; // fails only when the node has ended
         });
         None
@@ -334,6 +426,7 @@
 
     fn stop(&mut self, id: RequestId, number: u32, why: Stop) {
         let out = self.held.get_mut(&id).and_then(|held| held.attempts.get_mut(number as usize));
+        let out = out.filter(|out| out.started.is_none()); // it belongs to the client now
         if let Some(stop) = out.and_then(|out| out.stop.take()) {
             let _ = stop.send(why); // it may have ended just now; then that outcome is on its way
         }
@@ -376,8 +469,9 @@
             path: PathAndQuery::from_static("/read/1"),
             call_id: HeaderValue::from_static("1"),
             idempotency_key: None,
-            body: Bytes::new(),
-            deadline: at + remaining,
+            body: Content::Kept(Bytes::new()),
+            budget: remaining,
+            deadline: Cell::new(at + remaining),
             window: None,
             first_byte: Cell::new(None),
             over: Cell::new(false),
--- /dev/null
+++ b/src/bin/sillward/watched.rs
@@ -0,0 +1,68 @@
+//! A client's stream that tells when bytes move on it: only so a slow head can be told from an idle connection.
+
+use crate::front::Client;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+pub struct Watched {
+    stream: TcpStream,
+    client: Rc<Client>,
+}
+
+impl Watched {
+    pub fn new(stream: TcpStream, client: Rc<Client>) -> Self {
+        Watched { stream, client }
+    }
+
+    fn written(&self, written: usize) -> Poll<io::Result<usize>> {
+        self.client.written();
+        Poll::Ready(Ok(written))
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if buffer.filled().len() > before {
+            self.client.read();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
+        self.written(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        pieces: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, pieces))?;
+        self.written(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -291,6 +291,9 @@
     pub cost: Option<Duration>,
     /// Whether the client says that it repeats an earlier try.
     pub client_retry: bool,
+    /// Its body is longer than the node keeps, and still comes. An attempt reads it from the client as it comes, and
+    /// its time runs from [`Event::Arrived`] on.
+    pub arriving: bool,
 }
 
 /// How an attempt ended.
@@ -310,6 +313,8 @@
     pub finished: bool,
     /// The server's load report, if one came along.
     pub report: Option<LoadReport>,
+    /// It has used up a body that the node does not keep: the request can't be sent again.
+    pub spent: bool,
 }
 
 /// How a probe ended.
@@ -337,6 +342,11 @@
     },
     /// A client's request has arrived. The node owes it one final answer.
     Request(NewRequest),
+    /// The last byte of a request that was arriving has come.
+    Arrived {
+        /// The request.
+        id: RequestId,
+    },
     /// A streamed answer has started; the attempt belongs to the client now.
     Started {
         /// The request.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,6 +25,8 @@
 /// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
 const COLD_SPEND: f64 = 0.4;
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
+/// An attempt at a request that still arrives has no time-out of the module's: the node sees that bytes come.
+const ARRIVING: Duration = Duration::from_secs(86_400);
 /// Crowding beyond this many requests is treated alike, and no more servers than this are compared.
 const LEVELS: usize = 64;
 
@@ -61,7 +63,8 @@
         match event {
             Event::List { kind, entries } => self.on_list(kind, entries),
             Event::Request(new) => self.on_request(new, actions),
-            Event::Started { id, .. } => drop(self.requests.get_mut(&id).map(|r| r.streaming = true)),
+            Event::Arrived { id } => self.on_arrived(id, actions),
+            Event::Started { id, attempt, .. } => self.on_started(id, attempt, actions),
             Event::AttemptEnded(end) => self.on_outcome(end, actions),
             Event::ClientGone { id } => self.close(id, actions),
             Event::Timer { token: TICK } => self.on_tick(actions),
@@ -239,7 +242,10 @@
             self.ring().filter_map(|id| self.servers.get(&id)).filter(|s| self.permitted(s, request));
         let permitted: Vec<_> = permitted.take(self.enough()).collect();
         let again = !request.attempts.is_empty();
-        if self.now >= request.until || again && (self.retry_tokens < 1.0 || permitted.is_empty()) {
+        if self.now >= request.until
+            || request.spent
+            || again && (self.retry_tokens < 1.0 || permitted.is_empty())
+        {
             return self.finish(id, actions);
         }
         if permitted.is_empty() {
@@ -276,7 +282,7 @@
     fn may_go(&self, request: &Request) -> bool {
         let Some(last) = request.attempts.iter().rfind(|a| a.outcome.is_none()) else { return true };
         let silent = self.now >= last.sent + self.patience_with(request).mul_f64(0.99);
-        self.settings.limits.parallel_attempts && request.out() < 2 && silent
+        self.settings.limits.parallel_attempts && request.out() < 2 && silent && !request.long
     }
 
     /// How long an attempt may be silent: a multiple of the median answer, which few answers exceed.
@@ -291,23 +297,29 @@
         let (Some(request), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
         let again = !request.attempts.is_empty();
         let room = (request.attempts.len() as u32) < request.terms.max_attempts.max(1);
-        let owed = !request.done && self.may_go(request) && now < request.until;
+        let owed = !request.done && self.may_go(request) && now < request.until && !request.spent;
         if !owed || !room || !self.permitted(server, request) {
             return self.finish(id, actions);
         }
         // Time is kept for one more attempt where there may be one: the server may stay silent.
         let (left, patience) = (request.until - now, self.patience_with(request));
+        let (arriving, long) = (request.arriving.is_some(), request.long);
         let more = request.terms.class.repeat != Repeat::Unsafe
+            && !long
             && left > patience * 5 / 4
             && self.retry_tokens >= if again { 2.0 } else { 1.0 };
         let hedged = self.settings.limits.parallel_attempts;
         let timeout = if more && !hedged { patience } else { left };
+        let timeout = if arriving { ARRIVING } else { timeout };
         if more && hedged {
             actions.push(Action::SetTimer { after: patience, token: id.0 });
         }
         let crowd = (self.crowd(server).round() as usize).min(LEVELS - 1);
         let attempt = Attempt { to: server.entry, sent: now, crowd, outcome: None };
-        self.requests.entry(id).and_modify(|r| (r.probed, _) = (true, r.attempts.push(attempt)));
+        self.requests.entry(id).and_modify(|r| {
+            (r.probed, r.until) = (true, if arriving { now + ARRIVING } else { r.until });
+            r.attempts.push(attempt);
+        });
         self.servers.entry(to).and_modify(|s| {
             (s.ticket, s.count, s.out) = (Duration::ZERO, s.count + 1, s.out + 1);
             s.load = s.load.map(|(load, at)| (load + 1.0, at));
@@ -335,7 +347,11 @@
         let overdue = (0.0..usual / 4.0).contains(&past) && end.elapsed.as_secs_f64() >= usual;
         // Nothing to spare, or well past the aim where late answers have worth.
         let (aim, late_worth) = (request.terms.class.aim, request.terms.class.late_worth);
-        let left = request.until - attempt.sent;
+        let left = request.until.saturating_sub(attempt.sent);
+        request.spent |= end.spent;
+        if request.arriving.is_some() {
+            request.until = self.now + request.terms.class.aim; // so long it may wait for another server
+        }
         let tight = 4 * end.elapsed > if late_worth > 0.0 { 5 } else { 3 } * aim.min(left);
         let (finished, waiting) = (end.finished || request.done, request.out() == 0);
         let (now, memory, cut_short) = (self.now, self.memory(), 2 * end.elapsed < aim);
@@ -465,19 +481,19 @@
         let max_attempts = self.settings.limits.max_attempts;
         let all = new.terms.clone().unwrap_or_else(|| Terms { class: class.clone(), max_attempts });
         let terms = &all.class;
-        // The timer comes a tick late at most, and the answer must be there before the client leaves.
-        let deadline = self.now + new.remaining.saturating_sub(2 * self.settings.tick);
-        let stretch = new.cost.unwrap_or_default().mul_f64(terms.aim_stretch.clamp(0.0, 1e3));
-        let aim = (self.now + terms.aim + stretch).saturating_sub(self.spent(&new, present, terms.deadline));
-        let until = if terms.late_worth > 0.0 { deadline } else { deadline.min(aim) };
+        // While it arrives its time does not run, but it waits no longer for a server than another would.
+        let arriving = new.arriving.then(|| new.clone());
+        let until = if new.arriving { self.now + terms.aim } else { self.until(&new, present, terms) };
         let weight = self.weigh(new.cost);
         self.arrived.add(self.now, self.memory(), weight);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(2.0 / RETRY_SHARE);
         let paid = PRICE_SPEND / self.settings.prices.probe.max(1e-9);
         self.probe_tokens = (self.probe_tokens + paid).min(self.order.len() as f64);
         let (value, probed) = (self.value(terms.worth, new.tenant), !self.probes_tell());
+        let long = new.arriving;
         let request =
             Request { class: present, terms: all, weight, value, until, probed, ..Request::default() };
+        let request = Request { long, arriving, ..request };
         self.requests.insert(new.id, request);
         // Hopeless even on a free server. Where most are idle it may try: hints are not exact.
         let most = until.saturating_sub(self.now) * if self.busy < 0.5 { 2 } else { 1 };
@@ -488,6 +504,38 @@
         self.dispatch(new.id, actions);
     }
 
+    /// Until when an answer is worth waiting for, if the request has just come.
+    fn until(&mut self, new: &NewRequest, class: Option<usize>, terms: &Class) -> Duration {
+        // The timer comes a tick late at most, and the answer must be there before the client leaves.
+        let deadline = self.now + new.remaining.saturating_sub(2 * self.settings.tick);
+        let stretch = new.cost.unwrap_or_default().mul_f64(terms.aim_stretch.clamp(0.0, 1e3));
+        let aim = (self.now + terms.aim + stretch).saturating_sub(self.spent(new, class, terms.deadline));
+        if terms.late_worth > 0.0 { deadline } else { deadline.min(aim) }
+    }
+
+    /// All of a long request has come: its time runs from now on, and so does that of its attempt.
+    fn on_arrived(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let (now, request) = (self.now, self.requests.get_mut(&id));
+        let Some((request, new)) = request.and_then(|r| r.arriving.take().map(|new| (r, new))) else {
+            return;
+        };
+        request.attempts.iter_mut().for_each(|attempt| attempt.sent = now);
+        let (class, terms) = (request.class, request.terms.class.clone());
+        let until = self.until(&new, class, &terms);
+        self.requests.entry(id).and_modify(|r| r.until = until);
+        actions.push(Action::SetTimer { after: until.saturating_sub(now), token: id.0 });
+    }
+
+    /// The first bytes of an answer are with the client: what else is out for it is of no more use.
+    fn on_started(&mut self, id: RequestId, attempt: u32, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.streaming = true;
+        let others = request.attempts.iter().zip(0..).filter(|(a, i)| a.outcome.is_none() && *i != attempt);
+        if self.settings.limits.cancel {
+            actions.extend(others.map(|(_, i)| Action::Cancel { id, attempt: i }));
+        }
+    }
+
     /// What a client has waited already, as far as it shows: a marked repeat whose time is not that of a
     /// first try waits for the rest of its deadline. Work for one past its aim only feeds a jam.
     fn spent(&mut self, new: &NewRequest, class: Option<usize>, deadline: Duration) -> Duration {
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,6 +88,10 @@
     /// It has had its probes, or must do without.
     pub probed: bool,
     pub streaming: bool,
+    /// Its body can't be sent again; it still comes; its body has been used up.
+    pub long: bool,
+    pub arriving: Option<NewRequest>,
+    pub spent: bool,
     pub done: bool,
 }
 
--- /dev/null
+++ b/tests/bodies/mod.rs
@@ -0,0 +1,271 @@
+//! Bodies that are longer than the node keeps, slow ones, and HTTP/1.1's other ways to frame them.
+
+use crate::sockets::*;
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::thread::spawn;
+
+const LONG: u64 = 20_000;
+const MIB: usize = 1 << 20;
+
+/// Bytes of which no stretch looks like another.
+fn bytes(length: usize) -> Vec<u8> {
+    (0..length as u64).map(|i| (i.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 56) as u8).collect()
+}
+
+#[test]
+fn long_bodies_pass_both_ways_however_they_are_framed() {
+    let backend = Backend::start(|message| {
+        let body = message.body.clone();
+        match &message.start {
+            start if start.contains("/chunked") => Reply::Write(Box::new(move |stream| {
+                stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("room");
+                for chunk in body.chunks(70_001) {
+                    let _ = stream
+                        .write_all(&[format!("{:x}\r\n", chunk.len()).as_bytes(), chunk, b"\r\n"].concat());
+                }
+                let _ = stream.write_all(b"0\r\n\r\n");
+            })),
+            start if start.contains("/until-closed") => Reply::Write(Box::new(move |stream| {
+                let _ = stream.write_all(&[b"HTTP/1.1 200 OK\r\n\r\n", body.as_slice()].concat());
+            })),
+            _ => Reply::Answer("200 OK", "", body),
+        }
+    });
+    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+    for length in [1, 64 * 1024, 64 * 1024 + 1, 3 * MIB, 32 * MIB] {
+        for way in ["length", "chunked", "until-closed"] {
+            let (mut client, sent) = (node.client(), bytes(length));
+            if way == "length" {
+                client.send(&format!("POST /correct/{way}"), &common(LONG), &sent);
+            } else {
+                let head = format!("POST /correct/{way} HTTP/1.1\r\nHost: a\r\n{}", common(LONG));
+                client.write(format!("{head}Transfer-Encoding: chunked\r\n\r\n").as_bytes());
+                for chunk in sent.chunks(100_003) {
+                    client.write(&[format!("{:x}\r\n", chunk.len()).as_bytes(), chunk, b"\r\n"].concat());
+                }
+                client.write(b"0\r\nX-Trailer: 1\r\n\r\n");
+            }
+            let answer = client.answer().expect("an answer");
+            assert_eq!((answer.status(), answer.body.len()), (200, length), "{way}");
+            assert!(answer.body == sent, "{way}: {length} bytes came back changed");
+            assert!(backend.request().1.body == sent, "{way}: {length} bytes were passed on changed");
+        }
+    }
+}
+
+#[test]
+fn more_at_once_than_memory_holds_is_passed_on_as_fast_as_it_is_read() {
+    let (go, gate) = channel::<()>();
+    let gate = Arc::new(Mutex::new(gate));
+    // One for each: a new node sends no two at once to one backend.
+    let backends: Vec<_> = (0..6)
+        .map(|_| {
+            let gate = gate.clone();
+            Backend::start(move |message| {
+                let length = message.body.len();
+                let gate = gate.clone();
+                Reply::Write(Box::new(move |stream| {
+                    let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                    let _ = stream.write_all(&bytes(length));
+                    // Nobody ends before all have begun.
+                    let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+                }))
+            })
+        })
+        .collect();
+    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &backends.iter().collect::<Vec<_>>());
+    let before = node.peak();
+    let mut clients: Vec<_> = (0..6)
+        .map(|_| {
+            let mut client = node.client();
+            client.send("POST /correct/1", &common(LONG), &bytes(16 * MIB));
+            client
+        })
+        .collect();
+    until(|| backends.iter().all(|backend| backend.count() == 1), "all requests at backends");
+    for client in &mut clients {
+        assert_eq!(client.line(), "HTTP/1.1 200 OK\r\n");
+    }
+    // 192 MiB are under way, half of them unread.
+    assert!(node.peak() - before < 16 * MIB, "{} bytes", node.peak() - before);
+    (0..6).for_each(|_| go.send(()).expect("a backend waits"));
+}
+
+#[test]
+fn an_answer_that_breaks_midway_does_not_look_whole() {
+    for head in ["Content-Length: 9000000", "Transfer-Encoding: chunked"] {
+        let backend = Backend::start(move |_| {
+            Reply::Write(Box::new(move |stream| {
+                let _ = write!(stream, "HTTP/1.1 200 OK\r\n{head}\r\n\r\n");
+                let chunk = if head.starts_with('T') { "100000\r\n" } else { "" };
+                let _ = stream.write_all(&[chunk.as_bytes(), &bytes(MIB)].concat());
+            }))
+        });
+        let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+        let mut client = node.client();
+        client.send_correct();
+        let all = client.rest();
+        assert!(
+            all.starts_with(b"HTTP/1.1 200 OK\r\n") && all.len() > MIB / 2,
+            "{head}: {} bytes",
+            all.len()
+        );
+        assert!(all.len() < 9_000_000 && !all.ends_with(b"0\r\n\r\n"), "{head}");
+    }
+}
+
+#[test]
+fn the_first_bytes_of_an_answer_of_unknown_length_are_not_held_for_its_last() {
+    let (go, gate) = channel::<()>();
+    let gate = Arc::new(Mutex::new(gate));
+    let backend = Backend::start(move |_| {
+        let gate = gate.clone();
+        Reply::Write(Box::new(move |stream| {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n");
+            let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+            let _ = stream.write_all(b"4\r\nlast\r\n0\r\n\r\n");
+        }))
+    });
+    let (node, _watch, _discovery) = serving(&settings(2000, ""), &[&backend]);
+    let mut client = node.client();
+    client.send("POST /correct/1", &common(2000), b"sheet");
+    while client.line() != "first\r\n" {}
+    // Its time is over by now, or soon; it goes on all the same.
+    std::thread::sleep(std::time::Duration::from_millis(1500));
+    go.send(()).expect("the backend waits");
+    assert_eq!((client.line(), client.line()), ("4\r\n".to_owned(), "last\r\n".to_owned()));
+}
+
+#[test]
+fn a_long_request_that_its_backend_cuts_off_is_refused_and_sent_nowhere_else() {
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let addresses = [0, 1].map(|_| {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (address, accepted) = (listener.local_addr().expect("its address"), accepted.clone());
+        spawn(move || {
+            for stream in listener.incoming() {
+                accepted.fetch_add(1, Ordering::SeqCst);
+                // A piece of it, and then the connection breaks.
+                let _ = stream.expect("a connection").read_exact(&mut [0; 100_000]);
+            }
+        });
+        address
+    });
+    let (node, mut watch, _discovery) = serving(&settings(LONG, ""), &[]);
+    let entries = addresses.map(|address| entry(&format!("s-{address}"), address, "in_service"));
+    watch.line(&list(9, true, &entries));
+    let mut client = node.client();
+    // All of it can be sent: the answer comes over what nobody wants any more.
+    let answer = client.ask("POST /correct/1", &common(LONG), &bytes(8 * MIB));
+    assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("1.500")), "it never ran");
+    assert_eq!(accepted.load(Ordering::SeqCst), 1);
+    assert!(node.is_ready());
+}
+
+#[test]
+fn a_long_request_is_sent_elsewhere_as_long_as_none_of_it_has_been() {
+    let gone = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let backend = Backend::start(|message| ok(&message.body.len().to_string()));
+    let (node, mut watch, _discovery) = serving(&settings(LONG, ""), &[]);
+    let entries = [entry("s-0", gone, "in_service"), entry("s-1", backend.address, "in_service")];
+    watch.line(&list(9, true, &entries));
+    for _ in 0..6 {
+        let answer = node.client().ask("POST /correct/1", &common(LONG), &bytes(MIB));
+        assert_eq!((answer.status(), answer.body), (200, MIB.to_string().into_bytes()));
+    }
+}
+
+#[test]
+fn a_client_that_falls_silent_in_a_body_is_told_so_and_its_request_never_runs() {
+    let backend = Backend::start(|_| ok(""));
+    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+    for (sent, status) in [(9, 408), (200_000, 503)] {
+        let mut client = node.client();
+        let head =
+            format!("POST /correct/1 HTTP/1.1\r\nHost: a\r\n{}Content-Length: 300000\r\n\r\n", common(LONG));
+        client.write(&[head.as_bytes(), &bytes(sent)].concat());
+        assert_eq!(client.answer().expect("an answer").status(), status, "{sent} bytes");
+        assert!(client.ended());
+    }
+    assert_eq!(backend.count(), 0);
+}
+
+#[test]
+fn a_slow_body_is_waited_for_and_its_time_begins_with_its_last_byte() {
+    let backend = Backend::start(|message| ok(&message.body.len().to_string()));
+    let (node, _watch, _discovery) = serving(&settings(1000, ""), &[&backend]);
+    let mut client = node.client();
+    let head =
+        format!("POST /correct/1 HTTP/1.1\r\nHost: a\r\n{}Content-Length: 400000\r\n\r\n", common(1000));
+    client.write(head.as_bytes());
+    for piece in bytes(400_000).chunks(100_000) {
+        client.write(piece);
+        std::thread::sleep(std::time::Duration::from_millis(700));
+    }
+    let answer = client.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.body), (200, b"400000".to_vec()));
+}
+
+#[test]
+fn expectations_and_pipelines_are_met() {
+    let backend = Backend::start(|message| ok(&message.start));
+    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+    let mut client = node.client();
+    let head =
+        |path: &str| format!("POST {path} HTTP/1.1\r\nHost: a\r\n{}Content-Length: 5\r\n", common(LONG));
+    client.write(format!("{}Expect: 100-continue\r\n\r\n", head("/correct/waits")).as_bytes());
+    assert_eq!((client.line(), client.line()), ("HTTP/1.1 100 Continue\r\n".to_owned(), "\r\n".to_owned()));
+    client.write(b"sheet");
+    assert_eq!(client.answer().expect("an answer").body, b"POST /correct/waits HTTP/1.1");
+    // Both at once, the second a byte at a time.
+    client.write(format!("{}\r\nsheet", head("/correct/one")).as_bytes());
+    for byte in format!("{}\r\nsheet", head("/correct/two")).as_bytes() {
+        client.write(&[*byte]);
+    }
+    assert_eq!(client.answer().expect("an answer").body, b"POST /correct/one HTTP/1.1");
+    assert_eq!(client.answer().expect("an answer").body, b"POST /correct/two HTTP/1.1");
+}
+
+#[test]
+fn lengths_that_make_no_sense_are_told_so() {
+    let backend = Backend::start(|_| ok(""));
+    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+    for lengths in [
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: -5\r\n",
+        "Content-Length: 99999999999999999999\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+    ] {
+        let mut client = node.client();
+        let head = format!("POST /correct/1 HTTP/1.1\r\nHost: a\r\n{}{lengths}\r\nsheet", common(LONG));
+        client.write(head.as_bytes());
+        let status = client.answer().expect("an answer").status();
+        assert!((400..500).contains(&status), "{lengths}: {status}");
+        assert!(client.ended(), "{lengths}");
+    }
+    // Chunks that are none.
+    let mut client = node.client();
+    let head = format!("POST /correct/1 HTTP/1.1\r\nHost: a\r\n{}", common(LONG));
+    client.write(format!("{head}Transfer-Encoding: chunked\r\n\r\nfive\r\nsheet").as_bytes());
+    assert_eq!(client.answer().expect("an answer").status(), 400);
+    assert_eq!(backend.count(), 0);
+}
+
+#[test]
+fn a_head_may_begin_long_after_the_answer_before_it() {
+    let backend = Backend::start(|_| ok("fine"));
+    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+    let mut client = node.client();
+    assert_eq!(client.read().status(), 200);
+    let head = format!("GET /read/1 HTTP/1.1\r\nHost: a\r\n{}\r\n", common(LONG));
+    let (first, rest) = head.split_at(20);
+    std::thread::sleep(std::time::Duration::from_millis(1500));
+    client.write(first.as_bytes());
+    std::thread::sleep(std::time::Duration::from_millis(1500));
+    client.write(rest.as_bytes());
+    assert_eq!(client.answer().expect("an answer").body, b"fine");
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -286,6 +286,7 @@
         elapsed: ms(1),
         finished: true,
         report: None,
+        spent: false,
     };
     assert!(world.tell(Event::AttemptEnded(ended)).is_empty());
     assert!(world.tell(Event::Started { id, attempt: 0, server }).is_empty());
@@ -913,3 +914,74 @@
     assert!(broken < 5, "{broken} of the class that stood at 1");
     assert!(new > 10 && sound > 10, "{new} of the class that stands there now, {sound} of the one before it");
 }
+
+// ---- Long bodies --------------------------------------------------------------------------------
+
+/// Lets the node take a request whose body is too long to be kept and still comes.
+fn arriving(world: &mut World, class: usize) -> (RequestId, Vec<Action>) {
+    let id = RequestId(5000 + world.log.len() as u64);
+    let new = NewRequest { id, class, remaining: ms(900), arriving: true, ..NewRequest::default() };
+    (id, world.take(new))
+}
+
+#[test]
+fn the_time_of_a_long_request_begins_with_its_last_byte() {
+    let mut settings = settings();
+    settings.classes[0].aim = ms(400);
+    let mut world = World::with_servers(settings, 4);
+    let (id, actions) = arriving(&mut world, 0);
+    assert_eq!(sent_to(&actions).len(), 1);
+    // The world ends attempts when their time-out is over, and calls for an answer by the deadline of a try.
+    world.forgive(id, ms(60_000));
+    world.pass(ms(30_000));
+    assert!(!world.answered(id) && world.out() == [(id, 0)], "nothing of its is overdue, and it has no copy");
+    world.tell(Event::Arrived { id });
+    world.pass(ms(350));
+    assert!(!world.answered(id));
+    world.pass(ms(100));
+    assert!(world.answered(id), "its aim is over");
+}
+
+#[test]
+fn a_long_request_is_sent_again_until_its_body_is_used_up() {
+    let mut world = World::with_servers(settings(), 4);
+    let (id, actions) = arriving(&mut world, 1);
+    assert_eq!(sent_to(&actions).len(), 1);
+    let again = world.end(id, 0, Outcome::ConnectFailed, None);
+    assert_eq!(sent_to(&again).len(), 1, "{again:?}");
+    for (outcome, harmless) in [(Outcome::NotSent, true), (Outcome::Rejected, true), (Outcome::Reset, false)]
+    {
+        let mut world = World::with_servers(settings(), 4);
+        let (id, _) = arriving(&mut world, 1);
+        let end = world.end_with(id, 0, outcome, None, true);
+        assert_eq!(
+            (sent_to(&end).len(), refused(&end), failed(&end)),
+            (0, harmless, !harmless),
+            "{outcome:?}"
+        );
+    }
+}
+
+#[test]
+fn a_long_request_waits_no_longer_for_a_server_than_another() {
+    let mut world = World::new(settings());
+    let (id, actions) = arriving(&mut world, 0);
+    assert!(sent_to(&actions).is_empty());
+    world.pass(ms(399));
+    assert!(!world.answered(id));
+    world.pass(ms(10));
+    assert!(world.answered(id));
+}
+
+#[test]
+fn what_is_out_beside_an_answer_that_has_started_is_called_off() {
+    let mut world = World::with_servers(settings(), 4);
+    play(&mut world, 100, |_| Outcome::Served);
+    let (id, _) = world.request(0);
+    // A silent attempt is followed by a copy, well within the aim.
+    world.pass(ms(399));
+    assert_eq!(world.out(), [(id, 0), (id, 1)]);
+    let server = world.server_of(id, 1);
+    let actions = world.tell(Event::Started { id, attempt: 1, server });
+    assert_eq!(actions, [Action::Cancel { id, attempt: 0 }]);
+}
