Let the longest silent client make room at once, also before its first request

The log said nothing; the node was idle (0.1 cores) with 116 of 192 descriptors: it waited for a connection that it had told to close and that could not, half a head being no good moment, and told the same one again. Ruled out by that: want of descriptors or of CPU. The new test fails when such a client is asked to close instead of cut. SIGTERM now also waits for long bodies that are still passing through.

--- a/src/bin/sillward/config.rs
+++ b/src/bin/sillward/config.rs
@@ -11,7 +11,7 @@
 
 /// Descriptors for all but connections: standard streams, listener, runtime, discovery, the operators' calls, dials that
 /// end.
-const SPARE_SOCKETS: usize = 48;
+pub const SPARE_SOCKETS: usize = 48;
 
 #[derive(Deserialize)]
 struct File {
@@ -131,9 +131,9 @@
         let mut shape: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
         shape.as_object_mut().and_then(|file| file.remove("known"));
         let connections = file.limits.sockets.saturating_sub(SPARE_SOCKETS);
-        if connections < 2 {
+        if connections < 3 {
             return Err(format!(
-                "{} sockets are too few: {SPARE_SOCKETS} and 2 at least",
+                "{} sockets are too few: {SPARE_SOCKETS} and 3 at least",
                 file.limits.sockets
             ));
         }
@@ -143,8 +143,10 @@
             discovery: file.discovery,
             ops: file.ops,
             seed,
-            client_connections: connections / 2,
-            backend_connections: connections - connections / 2,
+            // Clients hold a third of all descriptors for requests, and each of these wants one to a backend,
+            // sometimes a second; the rest is for clients that ask nothing.
+            client_connections: connections - connections * 2 / 5,
+            backend_connections: connections * 2 / 5,
             known: file.known.map(|known| known.get().to_owned()),
             site: Rc::new(site),
             shape,
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -39,6 +39,9 @@
 const READ_BUFFER: usize = 32 * 1024;
 /// After an accept that failed for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// A process that is told to stop waits so long for bodies that still pass through: the longest of them, at a rate
+/// that clients are known to keep up.
+const LONGEST_PASSAGE: Duration = Duration::from_secs(60);
 /// How soon after it holds a list a process takes up clients beside another.
 const READY_PAUSE: Duration = Duration::from_millis(5);
 const LONGEST_BUDGET_MS: u64 = 600_000;
@@ -55,6 +58,8 @@
     begun: Cell<Option<Instant>>,
     /// When bytes last moved on it, either way.
     moved: Cell<Instant>,
+    /// It is to make room, and has been told so.
+    shed: Cell<bool>,
     close: Notify,
 }
 
@@ -77,6 +82,7 @@
             idle: Cell::new(Some(now)),
             begun: Cell::new(None),
             moved: Cell::new(now),
+            shed: Cell::new(false),
             close: Notify::new(),
         }
     }
@@ -112,9 +118,7 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.idle.set(Some(Instant::now()));
-        if self.1.is_full() {
-            self.1.left.notify_one(); // whoever waits to come in finds this one idle
-        }
+        self.1.left.notify_one(); // whoever waits to come in finds this one idle
     }
 }
 
@@ -186,6 +190,9 @@
             && let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await
         {
             self.serve(stream);
+            if timeout(LAST_WORDS, self.make_room()).await.is_err() {
+                break;
+            }
         }
         drop(listener);
         sleep_until(self.node.lifecycle.now().since + ACCEPT_ON + LAST_WORDS).await;
@@ -194,11 +201,19 @@
                 self.left.notified().await;
             }
         };
-        // Every request has its answer by its deadline; who is left then has sent half a request at most.
+        // Every request has its answer by its deadline. Who is left then has sent half a request at most, or a long
+        // body is still passing through.
         let site = self.current.get();
         let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
         if timeout(longest, all_left).await.is_err() {
-            log("a client would not end its connection");
+            let passing = || self.clients.borrow().values().any(|client| client.idle.get().is_none());
+            let passed = async {
+                while passing() {
+                    self.left.notified().await;
+                }
+            };
+            let whole = timeout(LONGEST_PASSAGE, passed).await.is_ok();
+            log(if whole { "a client would not end its connection" } else { "a long body was cut off" });
         }
     }
 
@@ -233,22 +248,18 @@
                     Err(e) => {
                         // Out of descriptors, or the client has left already: neither is a reason to end.
                         log(format_args!("cannot accept: {e}"));
-                        self.close_longest_idle();
+                        self.shed_longest_silent();
                         sleep(ACCEPT_PAUSE).await;
                     }
                 }
             }
-            while self.waiting.borrow().is_some() && self.is_full() {
-                // Between requests a node may close a connection: the longest idle one makes room.
-                self.close_longest_idle();
-                self.left.notified().await;
-            }
+            self.make_room().await;
             self.serve_waiting();
         }
     }
 
     fn is_full(&self) -> bool {
-        self.clients.borrow().len() >= self.node.pair.share(self.most_clients).max(1)
+        self.clients.borrow().len() >= self.node.pair.share(self.most_clients)
     }
 
     fn serve_waiting(self: &Rc<Self>) {
@@ -256,14 +267,24 @@
         waiting.into_iter().for_each(|stream| self.serve(stream));
     }
 
-    fn close_longest_idle(&self) {
+    /// Whoever holds no request and has been silent longest makes room. It may take a moment to go, so nobody is
+    /// told twice: the next one is.
+    fn shed_longest_silent(&self) {
         let clients = self.clients.borrow();
-        let idle = clients.values().filter(|client| client.idle.get().is_some());
-        if let Some(client) = idle.min_by_key(|client| client.idle.get()) {
+        let idle = clients.values().filter(|client| client.idle.get().is_some() && !client.shed.get());
+        if let Some(client) = idle.min_by_key(|client| client.moved.get()) {
+            client.shed.set(true);
             client.close.notify_one();
         }
     }
 
+    async fn make_room(&self) {
+        while self.is_full() {
+            self.shed_longest_silent();
+            self.left.notified().await;
+        }
+    }
+
     fn serve(self: &Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let client = Rc::new(Client::new());
@@ -282,7 +303,11 @@
                 tokio::select! {
                     biased;
                     _ = connection.as_mut() => break,
-                    () = client.close.notified() => connection.as_mut().graceful_shutdown(),
+                    // Before its first request has come whole there is no good order to close it in.
+                    () = client.close.notified() => match client.shed.get() && !client.asked.get() {
+                        true => break,
+                        false => connection.as_mut().graceful_shutdown(),
+                    },
                     () = sleep_until(look) => match client.lapse() {
                         Lapse::Later(then) => look = then,
                         Lapse::Leave if client.moved.get().elapsed() < STALLED => {
@@ -579,6 +604,52 @@
         })
     }
 
+    #[test]
+    fn when_places_run_out_the_longest_silent_goes_even_before_its_first_request() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let config = Config::parse(CONFIG).expect("good");
+            let (messages, _inbox) = mpsc::channel(16);
+            let node =
+                Node { ready: Rc::default(), lifecycle: Rc::new(Lifecycle::new()), pair: Rc::default() };
+            let current = Current::new(config.site.clone());
+            let front = Front::new(Clock::start(), &config, current, messages, node);
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let mut peers = Vec::new();
+            for sends in ["POST /sub", "", "POST /submit/1 HT"] {
+                let mut peer =
+                    TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a peer");
+                front.serve(listener.accept().await.expect("the peer").0);
+                peer.write_all(sends.as_bytes()).await.expect("room for it");
+                let client = front.clients.borrow().values().next_back().cloned().expect("just come");
+                while !sends.is_empty() && client.begun.get().is_none() {
+                    tokio::task::yield_now().await;
+                }
+                peers.push((peer, client));
+            }
+            // The first one goes on with its request: no longer is it the longest silent.
+            let since = peers[0].1.moved.get();
+            peers[0].0.write_all(b"mit").await.expect("room for it");
+            while peers[0].1.moved.get() == since {
+                tokio::task::yield_now().await;
+            }
+            for gone in [1, 2, 0] {
+                front.shed_longest_silent();
+                let (peer, client) = &mut peers[gone];
+                assert!(client.shed.get(), "{gone}");
+                // At once, and not when its time for a request is over.
+                let there = || front.clients.borrow().values().any(|other| Rc::ptr_eq(other, client));
+                for _ in 0..1000 {
+                    if there() {
+                        tokio::task::yield_now().await;
+                    }
+                }
+                assert!(!there(), "{gone} is still there");
+                assert_eq!(peer.read(&mut [0; 9]).await.unwrap_or_default(), 0, "{gone} has ended");
+            }
+        });
+    }
+
     #[test]
     fn a_peer_that_sends_no_whole_request_is_sent_off_in_3_s() {
         let head = "POST /submit/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n";
