--- a/src/policy.rs
+++ b/src/policy.rs
@@ -315,14 +315,14 @@
             actions.push(Action::SetTimer { after: patience, token: id.0 });
         }
         let crowd = (self.crowd(server).round() as usize).min(LEVELS - 1);
-        let attempt = Attempt { to: server.entry, sent: now, crowd, outcome: None };
+        let attempt = Attempt { to: server.entry, sent: now, crowd, counted: !arriving, outcome: None };
         self.requests.entry(id).and_modify(|r| {
             (r.probed, r.until) = (true, if arriving { now + ARRIVING } else { r.until });
             r.attempts.push(attempt);
         });
         self.servers.entry(to).and_modify(|s| {
-            (s.ticket, s.count, s.out) = (Duration::ZERO, s.count + 1, s.out + 1);
-            s.load = s.load.map(|(load, at)| (load + 1.0, at));
+            (s.ticket, s.count) = (Duration::ZERO, s.count + 1);
+            s.begin(!arriving);
         });
         actions.push(Action::Send { id, server: to, timeout });
         self.retry_tokens -= if again { 1.0 } else { 0.0 };
@@ -341,7 +341,7 @@
         if attempt.outcome.replace(end.outcome).is_some() {
             return;
         }
-        let (crowd, weight, kind) = (attempt.crowd, request.weight, request.class);
+        let (crowd, weight, kind, counted) = (attempt.crowd, request.weight, request.class, attempt.counted);
         // What is found out long after its time tells of this node's own pause, not of the server.
         let past = self.now.as_secs_f64() - request.until.as_secs_f64();
         let overdue = (0.0..usual / 4.0).contains(&past) && end.elapsed.as_secs_f64() >= usual;
@@ -355,7 +355,10 @@
         let tight = 4 * end.elapsed > if late_worth > 0.0 { 5 } else { 3 } * aim.min(left);
         let (finished, waiting) = (end.finished || request.done, request.out() == 0);
         let (now, memory, cut_short) = (self.now, self.memory(), 2 * end.elapsed < aim);
-        self.servers.entry(end.server).and_modify(|s| s.ended(kind, end.outcome, cut_short, now, memory));
+        self.servers.entry(end.server).and_modify(|s| {
+            s.out -= u32::from(counted).min(s.out);
+            s.ended(kind, end.outcome, cut_short, now, memory);
+        });
         self.on_report(end.server, end.report, end.outcome == Outcome::Served);
         // Where a server is broken for the class, that says nothing of how crowded servers are.
         let reached = !matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset);
@@ -519,7 +522,10 @@
         let Some((request, new)) = request.and_then(|r| r.arriving.take().map(|new| (r, new))) else {
             return;
         };
-        request.attempts.iter_mut().for_each(|attempt| attempt.sent = now);
+        for attempt in request.attempts.iter_mut().filter(|a| a.outcome.is_none()) {
+            (attempt.sent, attempt.counted) = (now, true);
+            self.servers.entry(attempt.to.id).and_modify(|s| s.begin(true));
+        }
         let (class, terms) = (request.class, request.terms.class.clone());
         let until = self.until(&new, class, &terms);
         self.requests.entry(id).and_modify(|r| r.until = until);
@@ -530,6 +536,11 @@
     fn on_started(&mut self, id: RequestId, attempt: u32, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.streaming = true;
+        if let Some(begun) = request.attempts.get_mut(attempt as usize) {
+            // What follows is a matter of connections: the server's work is done.
+            let done = u32::from(std::mem::take(&mut begun.counted));
+            self.servers.entry(begun.to.id).and_modify(|s| s.out -= done.min(s.out));
+        }
         let others = request.attempts.iter().zip(0..).filter(|(a, i)| a.outcome.is_none() && *i != attempt);
         if self.settings.limits.cancel {
             actions.extend(others.map(|(_, i)| Action::Cancel { id, attempt: i }));
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,6 +32,14 @@
 }
 
 impl Server {
+    /// An attempt begins to take up this server, if it does so already.
+    pub fn begin(&mut self, counts: bool) {
+        if counts {
+            self.out += 1;
+            self.load = self.load.map(|(load, at)| (load + 1.0, at));
+        }
+    }
+
     /// An attempt has ended; one that was cut short has missed nothing. `over` is the memory of rates.
     pub fn ended(
         &mut self,
@@ -41,7 +49,6 @@
         now: Duration,
         over: f64,
     ) {
-        self.out = self.out.saturating_sub(1);
         match outcome {
             Outcome::Served => {
                 class.and_then(|class| self.missed.remove(&class));
@@ -63,6 +70,8 @@
     pub sent: Duration,
     /// How crowded the server was at the send.
     pub crowd: usize,
+    /// It counts among those out at its server: not while its request still arrives, nor once its answer has begun.
+    pub counted: bool,
     pub outcome: Option<Outcome>,
 }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -985,3 +985,25 @@
     let actions = world.tell(Event::Started { id, attempt: 1, server });
     assert_eq!(actions, [Action::Cancel { id, attempt: 0 }]);
 }
+
+#[test]
+fn a_server_does_not_look_crowded_by_what_still_comes_or_has_begun_to_be_answered() {
+    // A new node sends no two at once to one server.
+    let mut world = World::with_servers(settings(), 1);
+    let (id, actions) = arriving(&mut world, 0);
+    assert_eq!(sent_to(&actions), [0]);
+    let (other, actions) = world.request(0);
+    assert_eq!(sent_to(&actions), [0], "it has nothing to do yet");
+    world.end(other, 0, Outcome::Served, None);
+    world.tell(Event::Arrived { id });
+    assert!(refused(&world.request(0).1), "now it has");
+    assert_eq!(world.tell(Event::Started { id, attempt: 0, server: ServerId(0) }), []);
+    let (other, actions) = world.request(0);
+    assert_eq!(sent_to(&actions), [0], "its work is done, though not all of the answer is there");
+    assert!(refused(&world.request(0).1));
+    // The end of the answer is not counted a second time.
+    world.end(id, 0, Outcome::Served, None);
+    assert!(refused(&world.request(0).1));
+    world.end(other, 0, Outcome::Served, None);
+    assert_eq!(sent_to(&world.request(0).1), [0]);
+}
