--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -166,6 +166,7 @@
                 !connection.sender.is_closed() && now.saturating_sub(*since) < idle_limit
             });
         }
+        while self.open.get() > self.pair.share(self.most_open) && self.close_longest_idle() {}
         let unused = |place: &Place| place.state == ServerState::Gone && place.dialling == 0;
         let told_long_ago = |place: &Place| place.told.is_some_and(|at| now > at + 10 * drain_grace);
         self.places.borrow_mut().retain(|_, place| !(unused(place) && told_long_ago(place)));
@@ -631,6 +632,7 @@
                 call_id: HeaderValue::from_static("1"),
                 idempotency_key: None,
                 body: Content::Kept(Bytes::new()),
+                room: None,
                 budget: MINUTE,
                 deadline: Cell::new(now + MINUTE),
                 window: Some(MINUTE),
--- a/src/bin/sillward/body.rs
+++ b/src/bin/sillward/body.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::{Instant, Sleep, sleep_until};
 
 /// The most bytes of a body that are kept, either way.
@@ -104,8 +104,9 @@
 
 /// A long request body on its way from the client. It is read once, by whoever holds it.
 pub struct Upload {
-    /// What has been read of it already.
+    /// What has been read of it already, and the room that this takes.
     start: Bytes,
+    room: Option<OwnedSemaphorePermit>,
     rest: Option<Incoming>,
     passed: u64,
     patience: Patience,
@@ -119,7 +120,7 @@
 
 impl Upload {
     pub fn new(
-        start: Bytes,
+        (start, room): (Bytes, Option<OwnedSemaphorePermit>),
         rest: Incoming,
         patience: Patience,
         place: mpsc::OwnedPermit<Message>,
@@ -129,6 +130,7 @@
         let upload = Upload {
             passed: start.len() as u64,
             start,
+            room,
             rest: Some(rest),
             patience,
             waiting: None,
@@ -165,6 +167,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         if !self.start.is_empty() {
+            self.room = None;
             return Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut self.start)))));
         }
         let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
--- a/src/bin/sillward/config.rs
+++ b/src/bin/sillward/config.rs
@@ -1,5 +1,6 @@
 //! What a node is told at its start: the file that `PROXY_CONFIG` names.
 
+use crate::body::KEPT;
 use hillpick::settings::{self, Site};
 use serde::Deserialize;
 use serde_json::Value;
@@ -8,6 +9,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use tokio::sync::Semaphore;
 
 /// Descriptors for all but connections: standard streams, listener, runtime, discovery, the operators' calls, dials that
 /// end.
@@ -35,11 +37,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -53,6 +56,8 @@
     /// The most client connections, and the most connections to backends.
     pub client_connections: usize,
     pub backend_connections: usize,
+    /// How much of clients' bodies may be kept at a time.
+    pub body_room_kib: usize,
     /// The list of backends as this node last had it: discovery's JSON, perhaps old.
     pub known: Option<String>,
     pub site: Rc<Site>,
@@ -147,6 +152,9 @@
             // sometimes a second; the rest is for clients that ask nothing.
             client_connections: connections - connections * 2 / 5,
             backend_connections: connections * 2 / 5,
+            // A quarter of the memory; one body at least, or nobody would ever be read.
+            body_room_kib: (file.limits.memory_mb.saturating_mul(1024) / 4)
+                .clamp(KEPT / 1024, Semaphore::MAX_PERMITS),
             known: file.known.map(|known| known.get().to_owned()),
             site: Rc::new(site),
             shape,
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -24,9 +24,10 @@
 use std::convert::Infallible;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -44,6 +45,8 @@
 const LONGEST_PASSAGE: Duration = Duration::from_secs(60);
 /// How soon after it holds a list a process takes up clients beside another.
 const READY_PAUSE: Duration = Duration::from_millis(5);
+/// Smaller bodies need no room of their own: a connection's buffers hold as much anyway.
+const SMALL: usize = 8 * 1024;
 const LONGEST_BUDGET_MS: u64 = 600_000;
 const LONGEST_ID: usize = 256;
 
@@ -142,12 +145,17 @@
     numbers: Cell<u64>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     most_clients: usize,
+    /// Room for bodies that are kept, in KiB. Who finds none waits to be read.
+    room: Arc<Semaphore>,
     /// A connection that is accepted, and waits for another to make room. It outlives a cancelled accept:
     /// it may hold a request.
     waiting: RefCell<Option<TcpStream>>,
     left: Notify,
 }
 
+/// What has been read of a body, what is unread of a long one, and the room that the first takes.
+type Read = (Bytes, Option<Incoming>, Option<OwnedSemaphorePermit>);
+
 /// Why a request is turned down without being taken: a 4xx, which promises nothing.
 type Bad = (StatusCode, &'static str);
 
@@ -167,6 +175,7 @@
             numbers: Cell::new(0),
             clients: RefCell::default(),
             most_clients: config.client_connections,
+            room: Arc::new(Semaphore::new(config.body_room_kib)),
             waiting: RefCell::default(),
             left: Notify::new(),
         })
@@ -175,6 +184,7 @@
     /// Serves clients until the node terminates, then ends in good order.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         spawn_local(self.clone().see_out());
+        spawn_local(self.clone().keep_to_share());
         let mut phase = self.node.lifecycle.watch();
         tokio::select! {
             () = self.take_up(&listener) => {}
@@ -217,6 +227,16 @@
         }
     }
 
+    /// Once there are two processes each has half: what is idle beyond that leaves, as far as it goes.
+    async fn keep_to_share(self: Rc<Self>) {
+        loop {
+            self.node.pair.changed().await;
+            let share = self.node.pair.share(self.most_clients);
+            let beyond = self.clients.borrow().len().saturating_sub(share);
+            (0..beyond).for_each(|_| self.shed_longest_silent());
+        }
+    }
+
     /// Whenever the node drains, for whatever reason: clients leave on an answer that says so, and who has not
     /// asked for anything by the end of the grace is sent off.
     async fn see_out(self: Rc<Self>) {
@@ -355,7 +375,7 @@
         let (head, body) = request.into_parts();
         // The settings may change while the body comes: it is under those that held when it began.
         let site = self.current.get();
-        let (body, rest) = read(body, &mut patience).await?;
+        let (body, rest, room) = self.read(body, &mut patience).await?;
         let at = self.clock.now();
         if head.uri.path() == "/health/ready" {
             let ready = self.node.ready.get() && !self.node.lifecycle.now().drains();
@@ -380,11 +400,14 @@
         };
         let mut unread = None;
         forward.body = match rest {
-            None => Content::Kept(body),
+            None => {
+                forward.room = room;
+                Content::Kept(body)
+            }
             Some(rest) => {
                 (new.arriving, forward.deadline) = (true, Cell::new(at + ARRIVING));
                 let message = Message::Arrived(new.id);
-                let (upload, back) = Upload::new(body, rest, patience, arrived, message);
+                let (upload, back) = Upload::new((body, room), rest, patience, arrived, message);
                 unread = Some(back);
                 Content::passing(upload)
             }
@@ -489,11 +512,38 @@
             budget: remaining,
             deadline: Cell::new(at + remaining),
             window,
+            room: None,
             first_byte: Cell::new(None),
             over: Cell::new(false),
         };
         Ok((new, forward))
     }
+
+    /// Reads what is kept of a body; with the rest if there is more than that, and the room that it takes.
+    async fn read(&self, mut body: Incoming, patience: &mut Patience) -> Result<Read, Bad> {
+        let (mut whole, mut room) = (BytesMut::new(), None);
+        if body.size_hint().lower() > LONGEST {
+            spawn_local(read_out(body, Patience::until(Instant::now() + READ_TIMEOUT)));
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 32 MiB"));
+        }
+        loop {
+            let asked = Instant::now();
+            let frame = timeout(patience.left(), body.frame()).await;
+            let frame = match frame.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "too slow"))? {
+                Some(frame) => frame.map_err(|_| (StatusCode::BAD_REQUEST, "broken body"))?,
+                None => return Ok((whole.freeze(), None, room)),
+            };
+            let data = frame.into_data().unwrap_or_default();
+            patience.came(asked.elapsed(), data.len());
+            whole.extend_from_slice(&data);
+            if whole.len() > KEPT {
+                return Ok((whole.freeze(), Some(body), room));
+            }
+            if whole.len() > SMALL && room.is_none() {
+                room = self.room.clone().acquire_many_owned((KEPT / 1024) as u32).await.ok();
+            }
+        }
+    }
 }
 
 /// A client that leaves drops the future that serves it, and this with it.
@@ -510,29 +560,6 @@
     }
 }
 
-/// Reads what is kept of a body; with the rest if there is more than that.
-async fn read(mut body: Incoming, patience: &mut Patience) -> Result<(Bytes, Option<Incoming>), Bad> {
-    let mut whole = BytesMut::new();
-    if body.size_hint().lower() > LONGEST {
-        spawn_local(read_out(body, Patience::until(Instant::now() + READ_TIMEOUT)));
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 32 MiB"));
-    }
-    loop {
-        let asked = Instant::now();
-        let frame = timeout(patience.left(), body.frame()).await;
-        let frame = match frame.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "too slow"))? {
-            Some(frame) => frame.map_err(|_| (StatusCode::BAD_REQUEST, "broken body"))?,
-            None => return Ok((whole.freeze(), None)),
-        };
-        let data = frame.into_data().unwrap_or_default();
-        patience.came(asked.elapsed(), data.len());
-        whole.extend_from_slice(&data);
-        if whole.len() > KEPT {
-            return Ok((whole.freeze(), Some(body)));
-        }
-    }
-}
-
 /// Reads a body to its end for nobody, as far as one may go, so that its sender sees the answer and not a reset.
 async fn read_out(mut body: Incoming, mut patience: Patience) {
     let mut length = 0;
@@ -604,6 +631,37 @@
         })
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn a_later_head_has_its_time_from_its_first_byte_on() {
+        let client = Client::new();
+        let pass = async |ms| tokio::time::advance(Duration::from_millis(ms)).await;
+        let waits = |client: &Client| matches!(client.lapse(), Lapse::Later(then) if then > Instant::now());
+        // The first one has it from the connection on.
+        pass(2000).await;
+        client.read();
+        assert!(waits(&client));
+        pass(500).await;
+        assert!(matches!(client.lapse(), Lapse::Cut));
+        client.asked.set(true);
+        client.begun.set(None);
+        client.idle.set(None);
+        assert!(waits(&client), "a request is held");
+        client.idle.set(Some(Instant::now()));
+        pass(2000).await;
+        client.read();
+        pass(2000).await;
+        assert!(waits(&client), "4 s after the answer, 2 s after its first byte");
+        client.read();
+        pass(500).await;
+        assert!(matches!(client.lapse(), Lapse::Leave));
+        client.begun.set(None);
+        client.idle.set(Some(Instant::now()));
+        pass(2499).await;
+        assert!(waits(&client));
+        pass(1).await;
+        assert!(matches!(client.lapse(), Lapse::Leave), "idle for so long it may go");
+    }
+
     #[test]
     fn when_places_run_out_the_longest_silent_goes_even_before_its_first_request() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
--- a/src/bin/sillward/handover.rs
+++ b/src/bin/sillward/handover.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -32,9 +33,20 @@
 pub struct Pair {
     predecessor: Cell<bool>,
     successor: Cell<bool>,
+    changed: Notify,
 }
 
 impl Pair {
+    /// Waits until another process has come or gone.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    fn set(&self, which: &Cell<bool>, there: bool) {
+        which.set(there);
+        self.changed.notify_one();
+    }
+
     /// A process that started earlier is still there.
     pub fn has_predecessor(&self) -> bool {
         self.predecessor.get()
@@ -74,11 +86,11 @@
     match listener {
         Ok(listener) => {
             log("took the listening socket over from the process before this one");
-            pair.predecessor.set(true);
+            pair.set(&pair.predecessor, true);
             let pair = pair.clone();
             spawn_local(async move {
                 ended(&mut stream).await;
-                pair.predecessor.set(false);
+                pair.set(&pair.predecessor, false);
                 log("the process before this one has gone");
             });
             Some(listener)
@@ -108,9 +120,9 @@
         match timeout(PATIENCE, send(&stream, &listener)).await {
             Ok(Ok(())) => {
                 log("passed the listening socket on to the process after this one");
-                pair.successor.set(true);
+                pair.set(&pair.successor, true);
                 ended(&mut stream).await;
-                pair.successor.set(false);
+                pair.set(&pair.successor, false);
                 log("the process after this one has gone");
             }
             Ok(Err(e)) => log(format_args!("the listening socket could not be passed on: {e}")),
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -18,7 +18,7 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
@@ -108,6 +108,8 @@
     pub call_id: HeaderValue,
     pub idempotency_key: Option<HeaderValue>,
     pub body: Content,
+    /// The room that it takes, for as long as this lasts.
+    pub room: Option<OwnedSemaphorePermit>,
     /// How long the client waits once its request has come.
     pub budget: Duration,
     /// When it stops waiting: late, while its request is still coming.
@@ -470,6 +472,7 @@
             call_id: HeaderValue::from_static("1"),
             idempotency_key: None,
             body: Content::Kept(Bytes::new()),
+            room: None,
             budget: remaining,
             deadline: Cell::new(at + remaining),
             window: None,
