End a long answer of known length with its last byte, and let go what comes too late at SIGTERM

Ruled out: the silence bounds (10 s, none was met) and shedding. Both tests fail without the change.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -459,9 +459,11 @@
         if messages.send(Message::Started(started)).await.is_err() {
             return (Outcome::Cancelled, report, None);
         }
+        let mut left = length.map(|length| length.saturating_sub(start.len() as u64));
         let mut piece = Piece::Data(start.freeze());
         loop {
-            let ends = matches!(piece, Piece::End);
+            // Where the length is known nobody asks for an end: the last byte is one.
+            let ends = matches!(piece, Piece::End) || left == Some(0);
             match timeout(STALLED, passing.send(piece)).await {
                 Ok(Ok(())) if ends => break,
                 Ok(Ok(())) => {}
@@ -474,7 +476,11 @@
                 () = passing.closed() => return (Outcome::Cancelled, report, None),
             };
             piece = match frame {
-                Ok(Some(Ok(frame))) => Piece::Data(frame.into_data().unwrap_or_default()),
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    left = left.map(|left| left.saturating_sub(data.len() as u64));
+                    Piece::Data(data)
+                }
                 Ok(None) => Piece::End,
                 Ok(Some(Err(_))) | Err(_) => return (Outcome::Reset, report, None),
             };
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -185,6 +185,7 @@
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         spawn_local(self.clone().see_out());
         spawn_local(self.clone().keep_to_share());
+        spawn_local(self.clone().take_no_more());
         let mut phase = self.node.lifecycle.watch();
         tokio::select! {
             () = self.take_up(&listener) => {}
@@ -227,6 +228,15 @@
         }
     }
 
+    /// What has not come whole in time is let go before it counts as taken.
+    async fn take_no_more(self: Rc<Self>) {
+        self.node.lifecycle.last_byte().await;
+        let _ = self.messages.send(Message::LastByte).await;
+        while self.clients.borrow().values().any(|client| client.idle.get().is_some() && !client.shed.get()) {
+            self.shed_longest_silent();
+        }
+    }
+
     /// Once there are two processes each has half: what is idle beyond that leaves, as far as it goes.
     async fn keep_to_share(self: Rc<Self>) {
         loop {
@@ -528,7 +538,14 @@
         }
         loop {
             let asked = Instant::now();
-            let frame = timeout(patience.left(), body.frame()).await;
+            let frame = tokio::select! {
+                biased;
+                frame = timeout(patience.left(), body.frame()) => frame,
+                () = self.node.lifecycle.last_byte() => {
+                    spawn_local(read_out(body, Patience::until(Instant::now() + READ_TIMEOUT)));
+                    return Err((StatusCode::SERVICE_UNAVAILABLE, "terminating"));
+                }
+            };
             let frame = match frame.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "too slow"))? {
                 Some(frame) => frame.map_err(|_| (StatusCode::BAD_REQUEST, "broken body"))?,
                 None => return Ok((whole.freeze(), None, room)),
--- a/src/bin/sillward/lifecycle.rs
+++ b/src/bin/sillward/lifecycle.rs
@@ -10,6 +10,10 @@
 /// Then what was accepted last has so long to send its request before idle connections are closed.
 pub const LAST_WORDS: Duration = Duration::from_millis(100);
 
+/// A process that is told to stop may be killed once the longest deadline and 0.7 s are over: what comes in whole
+/// after so long could find no answer in time, and is not taken.
+pub const LAST_BYTE: Duration = Duration::from_millis(650);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
     Active,
@@ -46,6 +50,17 @@
         self.0.subscribe()
     }
 
+    /// Returns when nothing further may be taken, if that ever comes.
+    pub async fn last_byte(&self) {
+        let mut phase = self.watch();
+        let terminating =
+            phase.wait_for(|phase| phase.state == State::Terminating).await.map(|phase| phase.since);
+        match terminating {
+            Ok(since) => tokio::time::sleep_until(since + LAST_BYTE).await,
+            Err(_) => std::future::pending().await, // its owner has gone, and the process with it
+        }
+    }
+
     /// Enters a state, and says whether the node is in it now. To enter it again changes nothing, not even since
     /// when: a drain that is called for twice ends no later. Nothing follows termination.
     pub fn enter(&self, state: State) -> bool {
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -33,6 +33,8 @@
     Probe(ProbeEnded),
     List(News),
     Settings(Rc<Site>),
+    /// The process is told to stop, and what has not come whole by now is not taken any more.
+    LastByte,
 }
 
 /// A request that the front has taken.
@@ -246,6 +248,12 @@
                 let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
                 self.decide(Event::List { kind: news.kind, entries });
             }
+            Message::LastByte => {
+                let arriving = self.held.iter().filter(|(_, held)| held.forward.body.is_cut());
+                let out = arriving.flat_map(|(id, held)| (0..held.attempts.len()).map(|i| (*id, i as u32)));
+                // The module hears that they were never sent whole, and can't be: it gives the answer.
+                out.collect::<Vec<_>>().into_iter().for_each(|(id, i)| self.stop(id, i, Stop::Cancelled));
+            }
             Message::Settings(site) => {
                 let settings = Box::new(site.settings.clone());
                 let classes = places(&site.class_names, &self.site.class_names);
@@ -309,6 +317,9 @@
         let Some(out) = held.attempts.get_mut(ended.number as usize) else { return };
         (out.ended, out.stop) = (true, None);
         let (server, sent, started) = (out.server, out.sent, out.started);
+        if started.is_some() && ended.outcome != Outcome::Served {
+            log(format_args!("a long answer of server {:x} broke off: {:?}", server.0, ended.outcome));
+        }
         // The first served answer is the client's; a later one only informs the module.
         if let Some(body) = ended.body {
             held.answer(Answer::Served(body));
--- a/tests/bodies/mod.rs
+++ b/tests/bodies/mod.rs
@@ -95,6 +95,17 @@
     (0..6).for_each(|_| go.send(()).expect("a backend waits"));
 }
 
+#[test]
+fn a_connection_that_has_brought_a_long_answer_is_used_again() {
+    let backend = Backend::start(|_| Reply::Answer("200 OK", "", bytes(MIB)));
+    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+    let mut client = node.client();
+    for _ in 0..5 {
+        assert_eq!(client.correct().body.len(), MIB);
+        assert_eq!(backend.request().0, 0, "the first connection");
+    }
+}
+
 #[test]
 fn an_answer_that_breaks_midway_does_not_look_whole() {
     for head in ["Content-Length: 9000000", "Transfer-Encoding: chunked"] {
--- a/tests/operations/mod.rs
+++ b/tests/operations/mod.rs
@@ -128,6 +128,45 @@
     assert_eq!(node.exit().code(), Some(0));
 }
 
+#[test]
+fn what_has_not_come_whole_soon_after_a_node_is_told_to_stop_is_let_go_with_an_answer() {
+    let backend = Backend::start(|_| ok("fine"));
+    let (mut node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+    let head = |length: usize| {
+        format!("POST /correct/1 HTTP/1.1\r\nHost: a\r\n{}Content-Length: {length}\r\n\r\n", common(LONG))
+    };
+    let over = Arc::new(AtomicBool::new(false));
+    // Both go on sending for as long as they may: one kept whole, one that has begun to pass through.
+    let mut slow: Vec<_> = [(9_000, 60_000), (1 << 20, 2 << 20)]
+        .into_iter()
+        .map(|(sent, length)| {
+            let mut client = node.client();
+            client.write(&[head(length).as_bytes(), &vec![b'x'; sent]].concat());
+            let (mut sender, over) = (client.sender(), over.clone());
+            spawn(move || {
+                while !over.load(Ordering::SeqCst) && sender.write_all(b"x").is_ok() {
+                    std::thread::sleep(std::time::Duration::from_millis(20));
+                }
+            });
+            client
+        })
+        .collect();
+    let mut half = node.client();
+    half.write(b"POST /corr");
+    // All of that has come when a later request is answered.
+    assert_eq!(node.client().ask("GET /health/ready", "", b"").status(), 200);
+    node.terminate();
+    for client in &mut slow {
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+    }
+    assert!(half.ended());
+    over.store(true, Ordering::SeqCst);
+    drop(slow);
+    assert_eq!(node.exit().code(), Some(0));
+    assert_eq!(backend.count(), 0);
+}
+
 // ---- New settings -------------------------------------------------------------------------------
 
 #[test]
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -462,6 +462,10 @@
     pub fn write(&mut self, bytes: &[u8]) {
         self.0.get_mut().write_all(bytes).expect("the node reads");
     }
+    /// A second handle, to write by.
+    pub fn sender(&self) -> TcpStream {
+        self.0.get_ref().try_clone().expect("a handle")
+    }
     pub fn line(&mut self) -> String {
         let mut line = String::new();
         self.0.read_line(&mut line).expect("a line");
