--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -156,7 +156,8 @@
 /// What has been read of a body, what is unread of a long one, and the room that the first takes.
 type Read = (Bytes, Option<Incoming>, Option<OwnedSemaphorePermit>);
 
-/// Why a request is turned down without being taken: a 4xx, which promises nothing.
+/// Why a request is turned down without being taken: a 4xx, which promises nothing, or a 503 for one that had
+/// not come whole when the process was about to end.
 type Bad = (StatusCode, &'static str);
 
 impl Front {
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -33,7 +33,7 @@
 /// Messages to the node that may wait. Each client connection keeps one place for its leaving.
 const MESSAGES: usize = 4096;
 
-/// Connections that may wait to be accepted, a crowd and the clients in it; the kernel allows no more by default.
+/// Connections that may wait to be accepted: a crowd, and the clients in it. Kernels allow no more by default.
 const QUEUE: u32 = 4096;
 
 /// A line for the operators. Nobody reading the log is no reason to stop serving.
