Be ready from a known list whatever its version says, also version 0

The test with version 0 fails without the change. Ruled out: the list itself, which was read and told to the module.

--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -129,9 +129,9 @@
 
     pub async fn run(mut self, orders: mpsc::Receiver<Order>) {
         if let Some(known) = self.known.take() {
-            self.take(known.as_bytes(), Some(ListKind::Cached)).await;
+            let some = self.take(known.as_bytes(), Some(ListKind::Cached)).await > 0;
             // It may be old: the first call may still bring a newer one before clients come.
-            let (ready, some) = (self.ready.clone(), self.index > 0);
+            let ready = self.ready.clone();
             spawn_local(async move {
                 sleep(READY_AFTER).await;
                 ready.set(ready.get() || some);
@@ -256,11 +256,15 @@
         timeout(SILENCE, call).await.map_err(|_| "silent")?
     }
 
-    /// Takes in a list. What is malformed is dropped, a line of it alone where the rest can be read.
-    async fn take(&mut self, text: &[u8], kind: Option<ListKind>) {
+    /// Takes in a list; returns how many backends it names. What is malformed is dropped, a line of it alone where
+    /// the rest can be read.
+    async fn take(&mut self, text: &[u8], kind: Option<ListKind>) -> usize {
         let list: List = match serde_json::from_slice(text) {
             Ok(list) => list,
-            Err(e) => return log(format_args!("a malformed list was dropped: {e}")),
+            Err(e) => {
+                log(format_args!("a malformed list was dropped: {e}"));
+                return 0;
+            }
         };
         let mut backends = Vec::new();
         for line in list.endpoints {
@@ -271,10 +275,12 @@
         }
         let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
         let kind = kind.unwrap_or(listed);
+        let count = backends.len();
         self.tell(kind, backends).await;
         self.index = list.index; // not before: a watch that is left half-way must ask for this again
         self.ready
             .set(self.ready.get() || kind != ListKind::Cached || self.current.get().settings.list_on_request);
+        count
     }
 
     fn read(&self, line: Line) -> Result<Backend, String> {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -260,9 +260,13 @@
     let down = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
     let config = config(down, &settings(LONG, ""), 1024);
     let known = entry("s-0", backend.address, "in_service");
-    let node = Node::start(&config.replace("\"endpoints\":[]", &format!("\"endpoints\":[{known}]")), "");
-    until(|| node.is_ready(), "readiness");
-    assert_eq!(node.client().read().body, b"known");
+    let config = config.replace("\"endpoints\":[]", &format!("\"endpoints\":[{known}]"));
+    // Discovery counts from 0.
+    for config in [config.replace("\"index\":7", "\"index\":0"), config] {
+        let node = Node::start(&config, "");
+        until(|| node.is_ready(), "readiness");
+        assert_eq!(node.client().read().body, b"known");
+    }
 }
 
 #[test]
