Split the decision module into src/policy by concern, moving code only

Every method stands as before in the file of its concern: pick, health, cold, retry, send, limits, request, list.

--- /dev/null
+++ b/src/policy/cold.rs
@@ -0,0 +1,45 @@
+//! Rule 4: what a server that has just started is sent, so that all nodes together don't push it over.
+
+use crate::interface::ServerId;
+use crate::state::{Balancer, Server};
+
+/// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
+const COLD_SPEND: f64 = 0.4;
+
+impl Balancer {
+    /// The share of its capacity that a server has for certain.
+    pub(super) fn warmth(&self, server: &Server) -> f64 {
+        let rules = &self.settings.rules;
+        let Some(started) = server.entry.started else { return 1.0 };
+        let age = self.now.saturating_sub(started).as_secs_f64();
+        let grown = age / rules.warm_after.as_secs_f64().max(1e-6);
+        (rules.cold_share + (1.0 - rules.cold_share) * grown).min(1.0)
+    }
+
+    /// Rule 4: a cold server is sent a request for a ticket. All nodes' answers from a warm server add up to
+    /// less than its capacity, so tickets come at a multiple of own answers from one: by chance and for a
+    /// short time, since what hundreds of quiet nodes save up can be spent in one burst.
+    pub(super) fn draw_tickets(&mut self) {
+        let (rules, now) = (self.settings.rules, self.now);
+        let cold = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.warmth(s) < 1.0);
+        let cold: Vec<_> = self.ring().take(2 * self.enough()).filter(cold).collect();
+        let part = if cold.is_empty() { 0.0 } else { self.carried_by_one() };
+        for id in cold {
+            let rate = rules.overload_factor * COLD_SPEND * self.warmth(&self.servers[&id]) * part;
+            let (chance, span) = (self.random(), rules.overload_time / 2);
+            let Some(server) = self.servers.get_mut(&id) else { continue };
+            let since = now.saturating_sub(server.drawn).min(span).as_secs_f64();
+            let won = chance < 1.0 - (-rate * since).exp();
+            server.ticket = if server.ticket <= now && won { now + span } else { server.ticket };
+            server.drawn = now;
+        }
+    }
+
+    /// What a warm server carries for this node a second; if none is warm, an even part of what arrives.
+    pub(super) fn carried_by_one(&self) -> f64 {
+        let near = self.enough().min(self.order.len());
+        let warm = self.ring().take(near).filter(|id| self.warmth(&self.servers[id]) >= 1.0).count();
+        let (total, by) = if warm > 0 { (&self.carried, warm) } else { (&self.arrived, near.max(1)) };
+        total.per_s(self.now, self.memory()) / by as f64
+    }
+}
--- /dev/null
+++ b/src/policy/figures.rs
@@ -0,0 +1,13 @@
+//! The figures that several files of the module share, each with its reason. One that a single file uses
+//! stands there.
+
+/// The token of the housekeeping timer; a request's timers carry its id.
+pub(super) const TICK: u64 = u64::MAX;
+/// The share of the service that probes, and connections, may cost: little beside what blind sends cost.
+pub(super) const PRICE_SPEND: f64 = 0.01;
+/// Further attempts, as a share of first attempts: the usual retry budget.
+pub(super) const RETRY_SHARE: f64 = 0.4;
+/// One observation's weight in a smoothed value: the last handful of observations decide.
+pub(super) const SMOOTH: f64 = 1.0 / 8.0;
+/// Crowding beyond this many requests is treated alike, and no more servers than this are compared.
+pub(super) const LEVELS: usize = 64;
--- /dev/null
+++ b/src/policy/list.rs
@@ -0,0 +1,65 @@
+//! The server list: what it changes, the ring that it makes, and when it is asked for.
+
+use super::figures::TICK;
+use crate::interface::*;
+use crate::state::{Balancer, Server};
+use std::time::Duration;
+
+/// A server's place on the ring: multiplied by the golden ratio's part of 2^64, neighbouring ids fall apart.
+fn scatter(id: ServerId) -> u64 {
+    id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+impl Balancer {
+    pub(super) fn on_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
+        if kind == ListKind::Failed {
+            let within = self.settings.rules.ask_within;
+            self.ask_wait = (2 * self.ask_wait).clamp(within / 16, within / 2);
+            self.ask_at = Some(self.now + self.ask_wait.mul_f64(0.5 + self.random() / 2.0));
+            return;
+        }
+        if kind != ListKind::Cached {
+            (self.ask_at, self.ask_wait) = (None, Duration::ZERO);
+        }
+        // One newly listed or restarted has the usual estimate: at zero all nodes would join it at once.
+        let near = self.enough().min(self.order.len());
+        let count =
+            self.ring().take(near).map(|id| self.servers[&id].count).sum::<u32>() / near.max(1) as u32;
+        if kind != ListKind::Changes {
+            self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
+            self.order.clear();
+        }
+        for entry in entries {
+            let old = self.servers.remove(&entry.id).unwrap_or_default();
+            let same = old.entry.id == entry.id && old.entry.started == entry.started;
+            let new = Server { out: old.out, drawn: self.now, count, ..Server::default() };
+            if entry.state != ServerState::Gone {
+                self.servers.insert(entry.id, Server { entry, ..if same { old } else { new } });
+            }
+            match (self.order.binary_search_by_key(&scatter(entry.id), |id| scatter(*id)), entry.state) {
+                (Err(at), ServerState::Ready) => self.order.insert(at, entry.id),
+                (Ok(at), state) if state != ServerState::Ready => drop(self.order.remove(at)),
+                _ => {}
+            }
+        }
+        if kind != ListKind::Changes {
+            self.servers.retain(|_, s| s.entry.state != ServerState::Gone);
+        }
+    }
+
+    /// All nodes see the same ring of ready servers and start evenly spaced, so that each has as many nodes.
+    pub(super) fn ring(&self) -> impl Iterator<Item = ServerId> + '_ {
+        let (node, nodes) = (self.settings.node as usize, self.settings.nodes.max(1) as usize);
+        let (before, after) = self.order.split_at(node % nodes * self.order.len() / nodes);
+        after.iter().chain(before).copied()
+    }
+
+    /// Where the list must be asked for: asks when it is time, and again if no answer came.
+    pub(super) fn on_tick(&mut self, actions: &mut Vec<Action>) {
+        if self.ask_at.is_some_and(|at| self.now >= at) {
+            actions.push(Action::Subscribe { on: true });
+            self.ask_at = Some(self.now + self.settings.rules.ask_within / 2);
+        }
+        actions.push(Action::SetTimer { after: self.settings.rules.ask_within / 64, token: TICK });
+    }
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,59 @@
+//! Every decision of hillpick, one file a concern. Types, events and actions are in `src/interface.rs`; what
+//! a node remembers of servers and requests in `src/state.rs`; departures from the paper in `README.md`.
+
+mod cold;
+mod figures;
+mod health;
+mod limits;
+mod list;
+mod pick;
+mod request;
+mod retry;
+mod send;
+
+use crate::interface::*;
+pub use crate::state::Balancer;
+use figures::{LEVELS, RETRY_SHARE, TICK};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use std::time::Duration;
+
+impl Balancer {
+    /// A node that has just started and holds no state.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or_default();
+        let mut node = Balancer::empty(settings, Pcg32::seed_from_u64(seed));
+        (node.answer_time, node.median) = (aim.as_secs_f64() / 2.0, aim.as_secs_f64() / 4.0);
+        (node.sends, node.idle_signs, node.busy) = (1.0, 1.0, 0.5);
+        (node.in_time, node.taken, node.retry_tokens) = (vec![0.25; LEVELS], 2.0, 1.0 / RETRY_SHARE);
+        node
+    }
+
+    /// Takes in what happened at `now` and adds what is to be done to `actions`, in order.
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        let first = self.now.is_zero();
+        self.now = now.max(self.now).max(Duration::from_nanos(1));
+        if first && self.settings.list_on_request {
+            // All nodes may have started together: they spread their first calls.
+            self.ask_at = Some(self.now + self.settings.rules.ask_within.mul_f64(self.random() / 4.0));
+            self.on_tick(actions);
+        }
+        match event {
+            Event::List { kind, entries } => self.on_list(kind, entries),
+            Event::Request(new) => self.on_request(new, actions),
+            Event::Arrived { id } => self.on_arrived(id, actions),
+            Event::Started { id, attempt, .. } => self.on_started(id, attempt, actions),
+            Event::AttemptEnded(end) => self.on_outcome(end, actions),
+            Event::ClientGone { id } => self.close(id, actions),
+            Event::Timer { token: TICK } => self.on_tick(actions),
+            Event::Timer { token } => self.on_request_timer(RequestId(token), actions),
+            Event::Probed(end) => self.on_probed(end, actions),
+            Event::Settings { settings, classes, tenants } => self.resettle(*settings, &classes, &tenants),
+            Event::Peer { .. } => {}
+        }
+    }
+
+    fn random(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / 2f64.powi(32)
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,7 +144,7 @@
     }
 }
 
-/// The decisions of one node. They are made in `policy.rs`; this is what it remembers.
+/// The decisions of one node. They are made in `src/policy/`; this is what it remembers.
 pub struct Balancer {
     pub(crate) settings: Settings,
     pub(crate) rng: Pcg32,
