Give the node's messages, clock and log rooms of their own below all that use them

backend, body, config, discovery, handover and node imported each other in a circle through the message types in node.rs, and every file imported main.rs for the clock and the log. The types now stand in messages.rs, the clock and the log in files of their own, a client's connection in client.rs, which front and watched both use. A long body tells of its last byte by a call that it is given, so that body.rs knows nothing of messages. No two files import each other.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -1,14 +1,14 @@
 //! The backends' side: attempts, the pool of connections, probes.
 
 use crate::body::{KEPT, Outgoing, Piece, STALLED};
+use crate::clock::Clock;
 use crate::config::{Config, Current};
-use crate::discovery::Backend;
 use crate::handover::Pair;
-use crate::node::{Forward, Message, Started};
-use crate::{Clock, log};
+use crate::log::log;
+use crate::messages::{Attempt, Backend, Ended, Message, Started, Stop};
 use bytes::{Bytes, BytesMut};
 use hillpick::settings::Column;
-use hillpick::{ListKind, LoadReport, Outcome, ReportSource, RequestId, ServerId, ServerState};
+use hillpick::{ListKind, LoadReport, Outcome, ReportSource, ServerId, ServerState};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -37,41 +37,6 @@
 /// For so long a dial that failed tells of its backend; then it may be back.
 const UNREACHABLE: Duration = Duration::from_secs(1);
 
-/// An attempt to be made.
-pub struct Attempt {
-    pub id: RequestId,
-    pub number: u32,
-    pub server: ServerId,
-    /// When the node stops waiting for it.
-    pub until: Duration,
-    pub forward: Rc<Forward>,
-}
-
-/// Why an attempt is stopped.
-pub enum Stop {
-    TimedOut,
-    Cancelled,
-}
-
-/// How an attempt ended; with the body if it was served.
-pub struct Ended {
-    pub id: RequestId,
-    pub number: u32,
-    pub outcome: Outcome,
-    pub report: Option<LoadReport>,
-    pub body: Option<Bytes>,
-    /// It has used up a body that is not kept.
-    pub spent: bool,
-}
-
-/// How a probe ended.
-pub struct ProbeEnded {
-    pub server: ServerId,
-    pub outcome: Outcome,
-    pub sent: Duration,
-    pub report: Option<LoadReport>,
-}
-
 /// A connection to a backend. Dropped, it closes at once, whatever is under way on it.
 struct Connection {
     server: ServerId,
@@ -600,7 +565,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::node::Content;
+    use crate::messages::{Content, Forward};
+    use hillpick::RequestId;
     use hillpick::ServerEntry;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
--- a/src/bin/sillward/body.rs
+++ b/src/bin/sillward/body.rs
@@ -1,7 +1,6 @@
 //! Bodies that are longer than the node keeps. They pass through in pieces: who reads slowly is a brake on who
 //! writes, and no more of them is held than the pieces on their way.
 
-use crate::node::Message;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -111,9 +110,9 @@
     passed: u64,
     patience: Patience,
     waiting: Option<(Instant, Pin<Box<Sleep>>)>,
-    /// Whether its last byte has come; and until then, the place for the news of it.
+    /// Whether its last byte has come; and until then, what tells of it.
     read: Rc<Cell<bool>>,
-    arrived: Option<(mpsc::OwnedPermit<Message>, Message)>,
+    arrived: Option<Box<dyn FnOnce()>>,
     /// What is left unread goes back to the client's side when this is dropped.
     back: Option<oneshot::Sender<(Incoming, Patience)>>,
 }
@@ -123,8 +122,7 @@
         (start, room): (Bytes, Option<OwnedSemaphorePermit>),
         rest: Incoming,
         patience: Patience,
-        place: mpsc::OwnedPermit<Message>,
-        arrived: Message,
+        arrived: Box<dyn FnOnce()>,
     ) -> (Self, oneshot::Receiver<(Incoming, Patience)>) {
         let (back, unread) = oneshot::channel();
         let upload = Upload {
@@ -135,7 +133,7 @@
             patience,
             waiting: None,
             read: Rc::default(),
-            arrived: Some((place, arrived)),
+            arrived: Some(arrived),
             back: Some(back),
         };
         (upload, unread)
@@ -148,8 +146,8 @@
     /// Its last byte has come, and has been passed on with this piece or before it.
     fn end(&mut self) {
         self.read.set(true);
-        if let Some((place, message)) = self.arrived.take() {
-            place.send(message);
+        if let Some(tell) = self.arrived.take() {
+            tell();
         }
     }
 
--- /dev/null
+++ b/src/bin/sillward/client.rs
@@ -0,0 +1,76 @@
+//! A client's connection as it stands: when bytes moved on it, and whether it holds a request.
+
+use crate::body::SILENCE;
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Anyone may connect, and is owed an error or an end within 3 s of that: so long the first request may be without
+/// progress, or a later head in all. A connection that has been idle for so long may be closed as well.
+pub const READ_TIMEOUT: Duration = SILENCE;
+
+/// A client's connection, as it stands.
+pub struct Client {
+    pub connected: Instant,
+    /// Whether a request has come on it.
+    pub asked: Cell<bool>,
+    /// Since when no request of it is held.
+    pub idle: Cell<Option<Instant>>,
+    /// Since when part of a further request has come.
+    pub begun: Cell<Option<Instant>>,
+    /// When bytes last moved on it, either way.
+    pub moved: Cell<Instant>,
+    /// It is to make room, and has been told so.
+    pub shed: Cell<bool>,
+    pub close: Notify,
+}
+
+/// What is to be done about a connection that sends nothing.
+pub enum Lapse {
+    /// Look again then.
+    Later(Instant),
+    /// It is between requests, and may be closed.
+    Leave,
+    /// It has had its time for a request, or for reading an answer.
+    Cut,
+}
+
+impl Client {
+    pub fn new() -> Self {
+        let now = Instant::now();
+        Client {
+            connected: now,
+            asked: Cell::new(false),
+            idle: Cell::new(Some(now)),
+            begun: Cell::new(None),
+            moved: Cell::new(now),
+            shed: Cell::new(false),
+            close: Notify::new(),
+        }
+    }
+
+    /// Bytes have come: the first ones after an answer begin another request.
+    pub fn read(&self) {
+        let now = Instant::now();
+        self.moved.set(now);
+        if self.idle.get().is_some() && self.begun.get().is_none() {
+            self.begun.set(Some(now));
+        }
+    }
+
+    pub fn written(&self) {
+        self.moved.set(Instant::now());
+    }
+
+    pub fn lapse(&self) -> Lapse {
+        let now = Instant::now();
+        let Some(idle) = self.idle.get() else { return Lapse::Later(now + READ_TIMEOUT) };
+        let (since, lapse) = match (self.asked.get(), self.begun.get()) {
+            (false, _) => (self.connected, Lapse::Cut),
+            (true, Some(begun)) => (begun, Lapse::Leave),
+            (true, None) => (idle, Lapse::Leave),
+        };
+        if now < since + READ_TIMEOUT { Lapse::Later(since + READ_TIMEOUT) } else { lapse }
+    }
+}
--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -1,8 +1,8 @@
 //! Discovery: the list of backends, the watch that keeps it fresh, and the backends' numbers.
 
 use crate::config::{Config, Current};
-use crate::log;
-use crate::node::Message;
+use crate::log::log;
+use crate::messages::{Backend, Message, News, Order};
 use bytes::{Bytes, BytesMut};
 use hillpick::settings::millis;
 use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
@@ -35,25 +35,6 @@
 /// A node that knows backends from before is ready at the latest when its first call has taken so long.
 const READY_AFTER: Duration = Duration::from_secs(1);
 
-/// A line of the list, and where that backend listens.
-#[derive(Clone, Debug)]
-pub struct Backend {
-    pub entry: ServerEntry,
-    pub address: SocketAddr,
-}
-
-/// News of the list.
-pub struct News {
-    pub kind: ListKind,
-    pub backends: Vec<Backend>,
-}
-
-/// What the module asks of discovery, where the list must be asked for.
-pub enum Order {
-    Subscribe(bool),
-    Fetch,
-}
-
 #[derive(Deserialize)]
 struct List {
     #[serde(default)]
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -1,12 +1,13 @@
 //! The clients' side: takes requests, checks them, and writes the final answers that the node gives.
 
-use crate::Clock;
-use crate::body::{Download, KEPT, LONGEST, Patience, SILENCE, STALLED, Upload};
+use crate::body::{Download, KEPT, LONGEST, Patience, STALLED, Upload};
+use crate::client::{Client, Lapse, READ_TIMEOUT};
+use crate::clock::Clock;
 use crate::config::{Config, Current};
 use crate::handover::Pair;
 use crate::lifecycle::{ACCEPT_ON, LAST_WORDS, Lifecycle, Phase, State};
-use crate::log;
-use crate::node::{Answer, Content, Forward, Message, Taken};
+use crate::log::log;
+use crate::messages::{Answer, Content, Forward, Message, Taken};
 use crate::watched::Watched;
 use bytes::{Bytes, BytesMut};
 use hillpick::settings::Site;
@@ -31,9 +32,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-/// Anyone may connect, and is owed an error or an end within 3 s of that: so long the first request may be without
-/// progress, or a later head in all. A connection that has been idle for so long may be closed as well.
-const READ_TIMEOUT: Duration = SILENCE;
 /// Until its last byte has come, a request has no deadline; its sender's silence ends it.
 const ARRIVING: Duration = Duration::from_secs(86_400);
 /// What a connection may buffer: no head is longer.
@@ -50,71 +48,6 @@
 const LONGEST_BUDGET_MS: u64 = 600_000;
 const LONGEST_ID: usize = 256;
 
-/// A client's connection, as it stands.
-pub struct Client {
-    connected: Instant,
-    /// Whether a request has come on it.
-    asked: Cell<bool>,
-    /// Since when no request of it is held.
-    idle: Cell<Option<Instant>>,
-    /// Since when part of a further request has come.
-    begun: Cell<Option<Instant>>,
-    /// When bytes last moved on it, either way.
-    moved: Cell<Instant>,
-    /// It is to make room, and has been told so.
-    shed: Cell<bool>,
-    close: Notify,
-}
-
-/// What is to be done about a connection that sends nothing.
-enum Lapse {
-    /// Look again then.
-    Later(Instant),
-    /// It is between requests, and may be closed.
-    Leave,
-    /// It has had its time for a request, or for reading an answer.
-    Cut,
-}
-
-impl Client {
-    fn new() -> Self {
-        let now = Instant::now();
-        Client {
-            connected: now,
-            asked: Cell::new(false),
-            idle: Cell::new(Some(now)),
-            begun: Cell::new(None),
-            moved: Cell::new(now),
-            shed: Cell::new(false),
-            close: Notify::new(),
-        }
-    }
-
-    /// Bytes have come: the first ones after an answer begin another request.
-    pub fn read(&self) {
-        let now = Instant::now();
-        self.moved.set(now);
-        if self.idle.get().is_some() && self.begun.get().is_none() {
-            self.begun.set(Some(now));
-        }
-    }
-
-    pub fn written(&self) {
-        self.moved.set(Instant::now());
-    }
-
-    fn lapse(&self) -> Lapse {
-        let now = Instant::now();
-        let Some(idle) = self.idle.get() else { return Lapse::Later(now + READ_TIMEOUT) };
-        let (since, lapse) = match (self.asked.get(), self.begun.get()) {
-            (false, _) => (self.connected, Lapse::Cut),
-            (true, Some(begun)) => (begun, Lapse::Leave),
-            (true, None) => (idle, Lapse::Leave),
-        };
-        if now < since + READ_TIMEOUT { Lapse::Later(since + READ_TIMEOUT) } else { lapse }
-    }
-}
-
 /// As long as a request is held, its connection is not idle.
 struct Busy(Rc<Client>, Rc<Front>);
 
@@ -418,7 +351,8 @@
             Some(rest) => {
                 (new.arriving, forward.deadline) = (true, Cell::new(at + ARRIVING));
                 let message = Message::Arrived(new.id);
-                let (upload, back) = Upload::new((body, room), rest, patience, arrived, message);
+                let tell = Box::new(move || drop(arrived.send(message)));
+                let (upload, back) = Upload::new((body, room), rest, patience, tell);
                 unread = Some(back);
                 Content::passing(upload)
             }
--- a/src/bin/sillward/handover.rs
+++ b/src/bin/sillward/handover.rs
@@ -3,7 +3,7 @@
 //! long as it does, two processes share the node's limits.
 
 use crate::config::SPARE_SOCKETS;
-use crate::log;
+use crate::log::log;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -4,31 +4,34 @@
 
 mod backend;
 mod body;
+mod client;
+mod clock;
 mod config;
 mod discovery;
 mod front;
 mod handover;
 mod lifecycle;
+mod log;
+mod messages;
 mod node;
 mod ops;
 mod watched;
 
+use clock::Clock;
 use config::{Config, Current};
 use handover::Pair;
 use lifecycle::{Lifecycle, State};
-use node::Message;
-use std::fmt::Display;
-use std::io::{self, Write};
+use log::log;
+use messages::Message;
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
-use tokio::time::Instant;
 
 /// Messages to the node that may wait. Each client connection keeps one place for its leaving.
 const MESSAGES: usize = 4096;
@@ -36,34 +39,6 @@
 /// Connections that may wait to be accepted: a crowd, and the clients in it. Kernels allow no more by default.
 const QUEUE: u32 = 4096;
 
-/// A line for the operators. Nobody reading the log is no reason to stop serving.
-pub fn log(text: impl Display) {
-    let _ = writeln!(io::stderr().lock(), "sillward: {text}");
-}
-
-/// The one clock: Unix time as it was at the start, carried on by the monotonic clock, so that a backend's
-/// `since_ms` and the times of events are on one scale that never runs backwards.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    started: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    fn start() -> Self {
-        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix }
-    }
-
-    pub fn now(self) -> Duration {
-        self.unix + self.started.elapsed()
-    }
-
-    pub fn instant(self, at: Duration) -> Instant {
-        self.started + at.saturating_sub(self.unix)
-    }
-}
-
 fn main() -> ExitCode {
     let ran = Config::from_env().and_then(|config| {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- /dev/null
+++ b/src/bin/sillward/messages.rs
@@ -0,0 +1,170 @@
+//! What the rooms of the node tell one another: types alone, below all that use them.
+
+use crate::body::{Outgoing, Piece, Upload};
+use bytes::Bytes;
+use hillpick::settings::Site;
+use hillpick::{ListKind, LoadReport, NewRequest, Outcome, RequestId, ServerEntry, ServerId};
+use http_body_util::Full;
+use hyper::Method;
+use hyper::header::HeaderValue;
+use hyper::http::uri::PathAndQuery;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+
+/// What reaches the node.
+pub enum Message {
+    Request(Box<Taken>),
+    /// The last byte of a long one has come.
+    Arrived(RequestId),
+    Started(Started),
+    ClientGone(RequestId),
+    Attempt(Ended),
+    Probe(ProbeEnded),
+    List(News),
+    Settings(Rc<Site>),
+    /// The process is told to stop, and what has not come whole by now is not taken any more.
+    LastByte,
+}
+
+/// A request that the front has taken.
+pub struct Taken {
+    pub new: NewRequest,
+    /// When its last byte had come.
+    pub at: Duration,
+    pub forward: Forward,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// The first bytes of an answer that is too long to be kept; the rest follows in pieces.
+pub struct Started {
+    pub id: RequestId,
+    pub number: u32,
+    pub length: Option<u64>,
+    pub pieces: mpsc::Receiver<Piece>,
+}
+
+/// A final answer.
+#[derive(Debug)]
+pub enum Answer {
+    Served(Bytes),
+    Serving(Option<u64>, mpsc::Receiver<Piece>),
+    Refused(Option<Duration>),
+    Failed,
+    TimedOut,
+}
+
+/// A request's body.
+pub enum Content {
+    Kept(Bytes),
+    /// Too long for that: whoever takes it reads it from the client. It may be given back unread.
+    Passing(RefCell<Option<Box<Upload>>>, Rc<Cell<bool>>),
+}
+
+impl Content {
+    pub fn passing(upload: Upload) -> Self {
+        let read = upload.is_read();
+        Content::Passing(RefCell::new(Some(Box::new(upload))), read)
+    }
+
+    /// For an attempt to write; `None` if it has been used up.
+    pub fn take(&self) -> Option<Outgoing> {
+        match self {
+            Content::Kept(body) => Some(Outgoing::Kept(Full::new(body.clone()))),
+            Content::Passing(upload, _) => Some(Outgoing::Upload(upload.borrow_mut().take()?)),
+        }
+    }
+
+    /// Not a byte of it was written.
+    pub fn put_back(&self, body: Outgoing) {
+        if let (Content::Passing(upload, _), Outgoing::Upload(body)) = (self, body) {
+            *upload.borrow_mut() = Some(body);
+        }
+    }
+
+    /// An attempt has taken it, and it was not kept.
+    pub fn is_spent(&self) -> bool {
+        matches!(self, Content::Passing(upload, _) if upload.borrow().is_none())
+    }
+
+    /// Its last byte has not been passed on yet, and will not be if the attempt has ended.
+    pub fn is_cut(&self) -> bool {
+        matches!(self, Content::Passing(_, read) if !read.get())
+    }
+}
+
+/// What all attempts of a request share: what goes on unchanged, and what binds them.
+pub struct Forward {
+    pub method: Method,
+    pub path: PathAndQuery,
+    pub call_id: HeaderValue,
+    pub idempotency_key: Option<HeaderValue>,
+    pub body: Content,
+    /// The room that it takes, for as long as this lasts.
+    pub room: Option<OwnedSemaphorePermit>,
+    /// How long the client waits once its request has come.
+    pub budget: Duration,
+    /// When it stops waiting: late, while its request is still coming.
+    pub deadline: Cell<Duration>,
+    /// How long backends remember a keyed request, from the first byte of the first attempt.
+    pub window: Option<Duration>,
+    pub first_byte: Cell<Option<Duration>>,
+    /// It has its final answer, or its client has left: nothing more is sent for it.
+    pub over: Cell<bool>,
+}
+
+/// An attempt to be made.
+pub struct Attempt {
+    pub id: RequestId,
+    pub number: u32,
+    pub server: ServerId,
+    /// When the node stops waiting for it.
+    pub until: Duration,
+    pub forward: Rc<Forward>,
+}
+
+/// Why an attempt is stopped.
+pub enum Stop {
+    TimedOut,
+    Cancelled,
+}
+
+/// How an attempt ended; with the body if it was served.
+pub struct Ended {
+    pub id: RequestId,
+    pub number: u32,
+    pub outcome: Outcome,
+    pub report: Option<LoadReport>,
+    pub body: Option<Bytes>,
+    /// It has used up a body that is not kept.
+    pub spent: bool,
+}
+
+/// How a probe ended.
+pub struct ProbeEnded {
+    pub server: ServerId,
+    pub outcome: Outcome,
+    pub sent: Duration,
+    pub report: Option<LoadReport>,
+}
+
+/// A line of the list, and where that backend listens.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    pub entry: ServerEntry,
+    pub address: SocketAddr,
+}
+
+/// News of the list.
+pub struct News {
+    pub kind: ListKind,
+    pub backends: Vec<Backend>,
+}
+
+/// What the module asks of discovery, where the list must be asked for.
+pub enum Order {
+    Subscribe(bool),
+    Fetch,
+}
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -1,128 +1,21 @@
 //! The node itself: the only owner of the [`Balancer`]. One loop takes events in and carries actions out;
 //! it decides nothing. Its request table alone gives final answers, and gives each exactly once.
 
-use crate::backend::{Attempt, Ended, Pool, ProbeEnded, Stop};
-use crate::body::{Outgoing, Piece, Upload};
+use crate::backend::Pool;
+use crate::clock::Clock;
 use crate::config::Config;
-use crate::discovery::{News, Order};
-use crate::{Clock, log};
-use bytes::Bytes;
+use crate::log::log;
+use crate::messages::{Answer, Attempt, Ended, Forward, Message, Order, ProbeEnded, Started, Stop, Taken};
 use hillpick::settings::{Site, places};
 use hillpick::*;
-use http_body_util::Full;
-use hyper::Method;
-use hyper::header::HeaderValue;
-use hyper::http::uri::PathAndQuery;
-use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
-/// What reaches the node.
-pub enum Message {
-    Request(Box<Taken>),
-    /// The last byte of a long one has come.
-    Arrived(RequestId),
-    Started(Started),
-    ClientGone(RequestId),
-    Attempt(Ended),
-    Probe(ProbeEnded),
-    List(News),
-    Settings(Rc<Site>),
-    /// The process is told to stop, and what has not come whole by now is not taken any more.
-    LastByte,
-}
-
-/// A request that the front has taken.
-pub struct Taken {
-    pub new: NewRequest,
-    /// When its last byte had come.
-    pub at: Duration,
-    pub forward: Forward,
-    pub reply: oneshot::Sender<Answer>,
-}
-
-/// The first bytes of an answer that is too long to be kept; the rest follows in pieces.
-pub struct Started {
-    pub id: RequestId,
-    pub number: u32,
-    pub length: Option<u64>,
-    pub pieces: mpsc::Receiver<Piece>,
-}
-
-/// A final answer.
-#[derive(Debug)]
-pub enum Answer {
-    Served(Bytes),
-    Serving(Option<u64>, mpsc::Receiver<Piece>),
-    Refused(Option<Duration>),
-    Failed,
-    TimedOut,
-}
-
-/// A request's body.
-pub enum Content {
-    Kept(Bytes),
-    /// Too long for that: whoever takes it reads it from the client. It may be given back unread.
-    Passing(RefCell<Option<Box<Upload>>>, Rc<Cell<bool>>),
-}
-
-impl Content {
-    pub fn passing(upload: Upload) -> Self {
-        let read = upload.is_read();
-        Content::Passing(RefCell::new(Some(Box::new(upload))), read)
-    }
-
-    /// For an attempt to write; `None` if it has been used up.
-    pub fn take(&self) -> Option<Outgoing> {
-        match self {
-            Content::Kept(body) => Some(Outgoing::Kept(Full::new(body.clone()))),
-            Content::Passing(upload, _) => Some(Outgoing::Upload(upload.borrow_mut().take()?)),
-        }
-    }
-
-    /// Not a byte of it was written.
-    pub fn put_back(&self, body: Outgoing) {
-        if let (Content::Passing(upload, _), Outgoing::Upload(body)) = (self, body) {
-            *upload.borrow_mut() = Some(body);
-        }
-    }
-
-    /// An attempt has taken it, and it was not kept.
-    pub fn is_spent(&self) -> bool {
-        matches!(self, Content::Passing(upload, _) if upload.borrow().is_none())
-    }
-
-    /// Its last byte has not been passed on yet, and will not be if the attempt has ended.
-    pub fn is_cut(&self) -> bool {
-        matches!(self, Content::Passing(_, read) if !read.get())
-    }
-}
-
-/// What all attempts of a request share: what goes on unchanged, and what binds them.
-pub struct Forward {
-    pub method: Method,
-    pub path: PathAndQuery,
-    pub call_id: HeaderValue,
-    pub idempotency_key: Option<HeaderValue>,
-    pub body: Content,
-    /// The room that it takes, for as long as this lasts.
-    pub room: Option<OwnedSemaphorePermit>,
-    /// How long the client waits once its request has come.
-    pub budget: Duration,
-    /// When it stops waiting: late, while its request is still coming.
-    pub deadline: Cell<Duration>,
-    /// How long backends remember a keyed request, from the first byte of the first attempt.
-    pub window: Option<Duration>,
-    pub first_byte: Cell<Option<Duration>>,
-    /// It has its final answer, or its client has left: nothing more is sent for it.
-    pub over: Cell<bool>,
-}
-
 struct Held {
     forward: Rc<Forward>,
     /// The way to the client, until the final answer has gone there.
@@ -456,6 +349,12 @@
 mod tests {
     use super::*;
     use crate::config::Current;
+    use crate::messages::Content;
+    use bytes::Bytes;
+    use hyper::Method;
+    use hyper::header::HeaderValue;
+    use hyper::http::uri::PathAndQuery;
+    use std::cell::Cell;
     use tokio::task::LocalSet;
 
     const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
--- a/src/bin/sillward/ops.rs
+++ b/src/bin/sillward/ops.rs
@@ -2,7 +2,7 @@
 //! It shares nothing with the clients' side but the lifecycle, so that no load there delays an answer here.
 
 use crate::lifecycle::{Lifecycle, State};
-use crate::log;
+use crate::log::log;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
--- a/src/bin/sillward/watched.rs
+++ b/src/bin/sillward/watched.rs
@@ -1,6 +1,6 @@
 //! A client's stream that tells when bytes move on it: only so a slow head can be told from an idle connection.
 
-use crate::front::Client;
+use crate::client::Client;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
