--- /dev/null
+++ b/crates/lab/src/emu/server.rs
@@ -0,0 +1,456 @@
+//! A server: cores, a first-come queue with a waiting room, a cold start, and what may be wrong with it. It knows work
+//! in seconds of a standard core, and nothing of nodes or networks.
+
+use crate::time::{FOREVER, Nanos, in_secs, secs};
+use std::collections::VecDeque;
+
+/// The number of an attempt in the world.
+pub type AttemptNo = u32;
+
+/// What all servers of a world have in common.
+#[derive(Clone, Debug)]
+pub struct Model {
+    /// Requests in work at a time.
+    pub cores: usize,
+    /// Requests that may wait.
+    pub waiting: usize,
+    /// Capacity at a cold start, as a share.
+    pub cold_share: f64,
+    /// How long it rises.
+    pub warm: Nanos,
+    /// Held requests for each core beyond which it is slower; endless for never.
+    pub crowded: f64,
+    /// By this factor.
+    pub crowded_slow: f64,
+    /// A cold one falls over at this multiple of its capacity ...
+    pub tip_factor: f64,
+    /// ... over so long.
+    pub tip: Nanos,
+    /// Work beyond that which is put down to chance, in s.
+    pub tip_slack: f64,
+    /// Connections that it holds.
+    pub connections: u32,
+}
+
+/// How a server stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Its process runs.
+    Up,
+    /// Its process is dead: connections are refused.
+    Down,
+    /// It has fallen over while cold, and stays down.
+    Fallen,
+    /// It has been replaced.
+    Retired,
+}
+
+/// An attempt in work.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Which.
+    pub attempt: AttemptNo,
+    /// Work that was left at `since`, in s of a standard core.
+    left: f64,
+    since: Nanos,
+    /// The speed that it goes at from `since` on, without the cold start.
+    rate: f64,
+    /// Which plan of its end holds.
+    pub plan: u32,
+}
+
+/// Work that has come to a cold server lately.
+#[derive(Clone, Copy)]
+struct Came {
+    at: Nanos,
+    work: f64,
+    /// From a node that had been told of the start.
+    told: bool,
+}
+
+/// What came of an attempt that reached a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Entered {
+    /// It runs, and its end is to be planned.
+    Running,
+    /// It waits.
+    Waiting,
+    /// The waiting room is full, or the server drains.
+    Rejected,
+}
+
+/// One server.
+pub struct Server {
+    /// Where it is.
+    pub zone: u8,
+    /// Its machine kind.
+    pub kind: u8,
+    /// Who drops repeats together.
+    pub cell: u16,
+    /// Speed of a core against the standard one.
+    pub speed: f64,
+    /// How it stands.
+    pub state: State,
+    /// It takes nothing new.
+    pub draining: bool,
+    /// How often its process, or its connections, have begun anew.
+    pub life: u32,
+    /// When its process last started; `None` for long ago.
+    pub started: Option<Nanos>,
+    waiting: VecDeque<(AttemptNo, f64)>,
+    running: Vec<Job>,
+    /// Faults that make it silent, and that hold it still.
+    pub silent: u32,
+    still: u32,
+    /// Faults that slow it, by number, with their factors.
+    slowed: Vec<(usize, f64)>,
+    /// Faults that make it err: by number, the share, and the class that it is limited to.
+    pub errs: Vec<(usize, f64, Option<u8>)>,
+    /// Open connections.
+    pub connections: u32,
+    /// Attempts that came while it was silent.
+    pub lost: Vec<AttemptNo>,
+    came: VecDeque<Came>,
+    plans: u32,
+    /// Work done so far, in s of a standard core.
+    pub done: f64,
+    /// Which spell of idleness this is, for its idle signs.
+    pub idle_spell: u32,
+}
+
+impl Server {
+    /// A warm server of long standing, or one that starts cold at `started`.
+    pub fn new(zone: u8, kind: u8, cell: u16, speed: f64, started: Option<Nanos>) -> Self {
+        Server {
+            zone,
+            kind,
+            cell,
+            speed,
+            state: State::Up,
+            draining: false,
+            life: 0,
+            started,
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            silent: 0,
+            still: 0,
+            slowed: Vec::new(),
+            errs: Vec::new(),
+            connections: 0,
+            lost: Vec::new(),
+            came: VecDeque::new(),
+            plans: 0,
+            done: 0.0,
+            idle_spell: 0,
+        }
+    }
+
+    /// Requests that it holds.
+    pub fn held(&self) -> usize {
+        self.waiting.len() + self.running.len()
+    }
+
+    /// Whether it answers what it is sent, if slowly.
+    pub fn answers(&self) -> bool {
+        self.state == State::Up && self.silent == 0
+    }
+
+    /// Whether some fault makes it slow or still.
+    pub fn is_slowed(&self) -> bool {
+        self.still > 0 || !self.slowed.is_empty()
+    }
+
+    /// The share of its capacity that it has.
+    pub fn warmth(&self, model: &Model, now: Nanos) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let grown = in_secs(now.saturating_sub(started)) / in_secs(model.warm).max(1e-9);
+        (model.cold_share + (1.0 - model.cold_share) * grown).min(1.0)
+    }
+
+    /// What it does in a second now, in s of a standard core, faults aside.
+    pub fn capacity(&self, model: &Model, now: Nanos) -> f64 {
+        model.cores as f64 * self.speed * self.warmth(model, now)
+    }
+
+    fn rate(&self, model: &Model) -> f64 {
+        if self.still > 0 {
+            return 0.0;
+        }
+        let crowded = self.held() as f64 > model.crowded * model.cores as f64;
+        let crowd = if crowded { model.crowded_slow } else { 1.0 };
+        self.slowed.iter().fold(self.speed / crowd, |rate, (_, factor)| rate / factor)
+    }
+
+    /// When work of `left` is done at `rate`, exactly: while it warms, capacity rises evenly.
+    fn end_of(&self, model: &Model, now: Nanos, left: f64, rate: f64) -> Nanos {
+        if rate <= 0.0 {
+            return FOREVER;
+        }
+        let (need, warmth) = (left / rate, self.warmth(model, now));
+        if warmth >= 1.0 {
+            return now + secs(need);
+        }
+        let slope = (1.0 - model.cold_share) / in_secs(model.warm).max(1e-9);
+        let ramp = (1.0 - warmth) / slope;
+        let within = warmth * ramp + slope * ramp * ramp / 2.0;
+        let takes = if need <= within {
+            ((warmth * warmth + 2.0 * slope * need).sqrt() - warmth) / slope
+        } else {
+            ramp + need - within
+        };
+        now + secs(takes)
+    }
+
+    /// Work done between two moments at `rate`.
+    fn progress(&self, model: &Model, from: Nanos, to: Nanos, rate: f64) -> f64 {
+        let span = in_secs(to.saturating_sub(from));
+        let (warmth, slope) =
+            (self.warmth(model, from), (1.0 - model.cold_share) / in_secs(model.warm).max(1e-9));
+        let ramp = if warmth < 1.0 { ((1.0 - warmth) / slope).min(span) } else { 0.0 };
+        rate * (warmth * ramp + slope * ramp * ramp / 2.0 + (span - ramp))
+    }
+
+    fn plan(&mut self, model: &Model, now: Nanos, attempt: AttemptNo, left: f64) -> (Nanos, u32) {
+        let rate = self.rate(model);
+        self.plans += 1;
+        self.running.push(Job { attempt, left, since: now, rate, plan: self.plans });
+        (self.end_of(model, now, left, rate), self.plans)
+    }
+
+    /// An attempt comes in with its work. If it runs at once, `planned` is given its end.
+    pub fn enter(
+        &mut self,
+        model: &Model,
+        now: Nanos,
+        attempt: AttemptNo,
+        work: f64,
+        planned: &mut Vec<(AttemptNo, Nanos, u32)>,
+    ) -> Entered {
+        if self.draining {
+            return Entered::Rejected;
+        }
+        if self.running.len() < model.cores {
+            self.idle_spell += u32::from(self.running.is_empty());
+            let (end, plan) = self.plan(model, now, attempt, work);
+            planned.push((attempt, end, plan));
+            return Entered::Running;
+        }
+        if self.waiting.len() >= model.waiting {
+            return Entered::Rejected;
+        }
+        self.waiting.push_back((attempt, work));
+        Entered::Waiting
+    }
+
+    /// A job's planned end has come. `None` if that plan no longer holds; else whatever starts next is planned.
+    pub fn finish(
+        &mut self,
+        model: &Model,
+        now: Nanos,
+        plan: u32,
+        planned: &mut Vec<(AttemptNo, Nanos, u32)>,
+    ) -> Option<AttemptNo> {
+        let at = self.running.iter().position(|job| job.plan == plan)?;
+        let job = self.running.swap_remove(at);
+        self.done += job.left;
+        self.next(model, now, planned);
+        Some(job.attempt)
+    }
+
+    fn next(&mut self, model: &Model, now: Nanos, planned: &mut Vec<(AttemptNo, Nanos, u32)>) {
+        while self.running.len() < model.cores {
+            let Some((attempt, work)) = self.waiting.pop_front() else { return };
+            let (end, plan) = self.plan(model, now, attempt, work);
+            planned.push((attempt, end, plan));
+        }
+    }
+
+    /// An attempt is called off: waiting work is dropped, and running work if `stops`. Whether it was there.
+    pub fn call_off(
+        &mut self,
+        model: &Model,
+        now: Nanos,
+        attempt: AttemptNo,
+        stops: bool,
+        planned: &mut Vec<(AttemptNo, Nanos, u32)>,
+    ) -> bool {
+        if let Some(at) = self.waiting.iter().position(|(waits, _)| *waits == attempt) {
+            self.waiting.remove(at);
+            return true;
+        }
+        let Some(at) = self.running.iter().position(|job| job.attempt == attempt).filter(|_| stops) else {
+            return false;
+        };
+        let job = self.running.swap_remove(at);
+        self.done += self.progress(model, job.since, now, job.rate).min(job.left);
+        self.next(model, now, planned);
+        true
+    }
+
+    /// Its speed may have changed: all that runs is planned anew.
+    fn replan(&mut self, model: &Model, now: Nanos, planned: &mut Vec<(AttemptNo, Nanos, u32)>) {
+        let rate = self.rate(model);
+        for i in 0..self.running.len() {
+            let job = &self.running[i];
+            let done = self.progress(model, job.since, now, job.rate).min(job.left);
+            let left = job.left - done;
+            let end = self.end_of(model, now, left, rate);
+            self.plans += 1;
+            self.done += done;
+            let attempt = self.running[i].attempt;
+            self.running[i] = Job { attempt, left, since: now, rate, plan: self.plans };
+            if end < FOREVER {
+                planned.push((attempt, end, self.plans));
+            }
+        }
+    }
+
+    /// A fault slows it by a factor, or no longer does.
+    pub fn slow(
+        &mut self,
+        model: &Model,
+        now: Nanos,
+        fault: usize,
+        factor: Option<f64>,
+        planned: &mut Vec<(AttemptNo, Nanos, u32)>,
+    ) {
+        self.slowed.retain(|(by, _)| *by != fault);
+        self.slowed.extend(factor.map(|factor| (fault, factor)));
+        self.replan(model, now, planned);
+    }
+
+    /// A fault holds it still, or lets go of it.
+    pub fn hold(
+        &mut self,
+        model: &Model,
+        now: Nanos,
+        still: bool,
+        planned: &mut Vec<(AttemptNo, Nanos, u32)>,
+    ) {
+        self.still = if still { self.still + 1 } else { self.still.saturating_sub(1) };
+        self.replan(model, now, planned);
+    }
+
+    /// Its connections break and it forgets what it holds; returns that, in the order of arrival.
+    pub fn drop_all(&mut self) -> Vec<AttemptNo> {
+        self.life += 1;
+        self.connections = 0;
+        let mut held: Vec<_> = self.running.drain(..).map(|job| job.attempt).collect();
+        held.extend(self.waiting.drain(..).map(|(attempt, _)| attempt));
+        held.append(&mut self.lost);
+        held.sort_unstable();
+        held
+    }
+
+    /// Its process starts, cold.
+    pub fn start(&mut self, now: Nanos) {
+        (self.state, self.draining, self.started) = (State::Up, false, Some(now));
+        self.came.clear();
+    }
+
+    /// Work reaches it, also work that it turns away. While it is cold, says whether that is more than it can take:
+    /// `Some(true)` if two thirds of it came from nodes that had been told of its start.
+    pub fn is_pushed_over(&mut self, model: &Model, now: Nanos, work: f64, told: bool) -> Option<bool> {
+        let warmth = self.warmth(model, now);
+        if warmth >= 1.0 || model.tip == 0 || model.tip_factor <= 0.0 {
+            self.came.clear();
+            return None;
+        }
+        self.came.push_back(Came { at: now, work, told });
+        while self.came.front().is_some_and(|came| came.at + model.tip < now) {
+            self.came.pop_front();
+        }
+        let all: f64 = self.came.iter().map(|came| came.work).sum();
+        let allowed = model.tip_factor * self.capacity(model, now) * in_secs(model.tip) + model.tip_slack;
+        let from_told: f64 = self.came.iter().filter(|came| came.told).map(|came| came.work).sum();
+        (all > allowed).then_some(3.0 * from_told >= 2.0 * all)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::time::SECOND;
+
+    fn model() -> Model {
+        Model {
+            cores: 1,
+            waiting: 2,
+            cold_share: 0.1,
+            warm: 10 * SECOND,
+            crowded: f64::INFINITY,
+            crowded_slow: 1.0,
+            tip_factor: 3.0,
+            tip: 3 * SECOND,
+            tip_slack: 0.0,
+            connections: 10,
+        }
+    }
+
+    fn warm() -> Server {
+        Server::new(0, 0, 0, 2.0, None)
+    }
+
+    #[test]
+    fn serves_first_come_and_turns_away_beyond_its_waiting_room() {
+        let (model, mut server, mut planned) = (model(), warm(), Vec::new());
+        assert_eq!(server.enter(&model, 0, 1, 4.0, &mut planned), Entered::Running);
+        assert_eq!(server.enter(&model, 0, 2, 2.0, &mut planned), Entered::Waiting);
+        assert_eq!(server.enter(&model, 0, 3, 2.0, &mut planned), Entered::Waiting);
+        assert_eq!(server.enter(&model, 0, 4, 2.0, &mut planned), Entered::Rejected);
+        assert_eq!(planned, [(1, 2 * SECOND, 1)]);
+        assert_eq!(server.finish(&model, 2 * SECOND, 1, &mut planned), Some(1));
+        assert_eq!(planned[1], (2, 3 * SECOND, 2));
+        assert!(server.call_off(&model, 2 * SECOND, 3, false, &mut planned));
+        assert_eq!(server.held(), 1);
+    }
+
+    /// Half of the work is done at full speed, a fault takes three quarters of it, a pause all of it.
+    #[test]
+    fn a_change_of_speed_moves_the_end_of_what_runs() {
+        let (model, mut server, mut planned) = (model(), warm(), Vec::new());
+        server.enter(&model, 0, 1, 4.0, &mut planned);
+        server.slow(&model, SECOND, 0, Some(4.0), &mut planned);
+        assert_eq!(planned.last(), Some(&(1, 5 * SECOND, 2)));
+        server.hold(&model, 3 * SECOND, true, &mut planned);
+        assert_eq!(server.finish(&model, 5 * SECOND, 2, &mut planned), None);
+        server.slow(&model, 6 * SECOND, 0, None, &mut planned);
+        server.hold(&model, 7 * SECOND, false, &mut planned);
+        let (_, end, plan) = *planned.last().unwrap();
+        assert_eq!(end, 7 * SECOND + SECOND / 2);
+        assert_eq!(server.finish(&model, end, plan, &mut planned), Some(1));
+        assert!((server.done - 4.0).abs() < 1e-9);
+    }
+
+    /// From a tenth of its capacity, evenly to all of it in 10 s: 5.5 s of full work in that time.
+    #[test]
+    fn a_cold_start_is_reckoned_exactly() {
+        let (model, mut planned) = (model(), Vec::new());
+        let mut server = Server::new(0, 0, 0, 1.0, Some(0));
+        server.enter(&model, 0, 1, 5.5, &mut planned);
+        server.enter(&model, 0, 2, 1.0, &mut planned);
+        assert_eq!(planned[0].1, 10 * SECOND);
+        // A change half way leaves the end where it was: 0.1 x 5 + 0.09 x 25 / 2 is done by then.
+        assert!((server.progress(&model, 0, 5 * SECOND, 1.0) - 1.625).abs() < 1e-9);
+        server.hold(&model, 5 * SECOND, true, &mut planned);
+        server.hold(&model, 5 * SECOND, false, &mut planned);
+        let (_, end, plan) = *planned.last().unwrap();
+        assert!(end.abs_diff(10 * SECOND) < 10, "{end}");
+        server.finish(&model, end, plan, &mut planned);
+        assert_eq!(planned.last().unwrap().1 - end, SECOND);
+    }
+
+    #[test]
+    fn a_cold_server_falls_over_at_the_sum_of_what_it_is_sent() {
+        let (model, mut server) = (model(), Server::new(0, 0, 0, 1.0, Some(0)));
+        // A tenth of its capacity, three times that over 3 s: 0.9 s of work, and a little for its growth.
+        assert_eq!(server.is_pushed_over(&model, 0, 0.5, true), None);
+        assert_eq!(server.is_pushed_over(&model, 0, 0.39, false), None);
+        assert_eq!(server.is_pushed_over(&model, 0, 0.2, false), Some(false));
+        server.start(20 * SECOND);
+        assert_eq!(server.is_pushed_over(&model, 20 * SECOND, 1.0, true), Some(true));
+        // What came longer ago does not count, nor does anything at a warm server.
+        assert_eq!(server.is_pushed_over(&model, 24 * SECOND, 0.9, true), None);
+        assert_eq!(server.is_pushed_over(&model, 31 * SECOND, 100.0, true), None);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/strategy/mod.rs
@@ -0,0 +1,96 @@
+//! What decides at a node: the module, or a plain strategy to hold it against. All see the module's events alone and
+//! answer with its actions, so that the emulator treats them alike.
+
+mod jut;
+mod plain;
+
+use hillpick::{Action, Balancer, Event, Settings};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::time::Duration;
+
+/// The decisions of one node. The same events give the same actions.
+pub trait Strategy {
+    /// Takes in what happened at `now`, on the node's clock, and adds what is to be done to `actions`, in order.
+    fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>);
+}
+
+impl Strategy for Balancer {
+    fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, actions);
+    }
+}
+
+/// Starts the decisions of a node, from its settings and a seed of its own.
+pub type Make = Box<dyn Fn(Settings, u64) -> Box<dyn Strategy>>;
+
+/// A strategy, as experiments name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub enum Kind {
+    /// The decisions of hillpick, as they are.
+    Module,
+    /// A random server.
+    Random,
+    /// One server after another.
+    RoundRobin,
+    /// Of two random servers the one with fewer own requests in flight.
+    LeastOfTwo,
+    /// Join-Up-To(m) as the paper defines it, with this m.
+    Jut(u32),
+}
+
+impl Kind {
+    /// The kind of this name.
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "module" => Some(Kind::Module),
+            "random" => Some(Kind::Random),
+            "round-robin" => Some(Kind::RoundRobin),
+            "least-of-two" => Some(Kind::LeastOfTwo),
+            _ => name.strip_prefix("jut-")?.parse().ok().filter(|m| (1..=1000).contains(m)).map(Kind::Jut),
+        }
+    }
+
+    /// A node of this kind that has just started.
+    pub fn start(self, settings: Settings, seed: u64) -> Box<dyn Strategy> {
+        match self {
+            Kind::Module => Box::new(Balancer::new(settings, seed)),
+            Kind::Random => Box::new(plain::Plain::new(settings, seed, plain::Random)),
+            Kind::RoundRobin => Box::new(plain::Plain::new(settings, seed, plain::RoundRobin::default())),
+            Kind::LeastOfTwo => Box::new(plain::Plain::new(settings, seed, plain::LeastOfTwo::default())),
+            Kind::Jut(m) => Box::new(plain::Plain::new(settings, seed, jut::JoinUpTo::new(m))),
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Kind::Module => out.write_str("module"),
+            Kind::Random => out.write_str("random"),
+            Kind::RoundRobin => out.write_str("round-robin"),
+            Kind::LeastOfTwo => out.write_str("least-of-two"),
+            Kind::Jut(m) => write!(out, "jut-{m}"),
+        }
+    }
+}
+
+impl From<Kind> for String {
+    fn from(kind: Kind) -> String {
+        kind.to_string()
+    }
+}
+
+impl TryFrom<String> for Kind {
+    type Error = String;
+
+    fn try_from(name: String) -> Result<Self, String> {
+        Kind::named(&name).ok_or_else(|| {
+            format!(
+                "{name:?} is no strategy: expected module, random, round-robin, least-of-two or jut-M with an M from \
+                 1 to 1000"
+            )
+        })
+    }
+}
