--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -1,6 +1,5 @@
 //! Rule 4: what a server that has just started is sent, so that all nodes together don't push it over.
 
-use crate::interface::ServerId;
 use crate::state::{Balancer, Server};
 
 /// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
@@ -21,11 +20,15 @@
     /// short time, since what hundreds of quiet nodes save up can be spent in one burst.
     pub(super) fn draw_tickets(&mut self) {
         let (rules, now) = (self.settings.rules, self.now);
-        let cold = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.warmth(s) < 1.0);
-        let cold: Vec<_> = self.ring().take(2 * self.enough()).filter(cold).collect();
+        if now > self.warm_at {
+            return;
+        }
+        let cold = self.ring().take(2 * self.enough()).filter(|s| self.warmth(s) < 1.0);
+        let cold: Vec<_> = cold.map(|s| s.entry.id).collect();
         let part = if cold.is_empty() { 0.0 } else { self.carried_by_one() };
         for id in cold {
-            let rate = rules.overload_factor * COLD_SPEND * self.warmth(&self.servers[&id]) * part;
+            let Some(warmth) = self.servers.get(&id).map(|s| self.warmth(s)) else { continue };
+            let rate = rules.overload_factor * COLD_SPEND * warmth * part;
             let (chance, span) = (self.random(), rules.overload_time / 2);
             let Some(server) = self.servers.get_mut(&id) else { continue };
             let since = now.saturating_sub(server.drawn).min(span).as_secs_f64();
@@ -38,7 +41,7 @@
     /// What a warm server carries for this node a second; if none is warm, an even part of what arrives.
     pub(super) fn carried_by_one(&self) -> f64 {
         let near = self.enough().min(self.order.len());
-        let warm = self.ring().take(near).filter(|id| self.warmth(&self.servers[id]) >= 1.0).count();
+        let warm = self.ring().take(near).filter(|s| self.warmth(s) >= 1.0).count();
         let (total, by) = if warm > 0 { (&self.carried, warm) } else { (&self.arrived, near.max(1)) };
         total.per_s(self.now, self.memory()) / by as f64
     }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -36,10 +36,10 @@
         let tight = 4 * end.elapsed > if late_worth > 0.0 { 5 } else { 3 } * aim.min(left);
         let (finished, waiting) = (end.finished || request.done, request.out() == 0);
         let (now, memory, cut_short) = (self.now, self.memory(), 2 * end.elapsed < aim);
-        self.servers.entry(end.server).and_modify(|s| {
+        if let Some(s) = self.servers.get_mut(&end.server) {
             s.out -= u32::from(counted).min(s.out);
             s.ended(kind, end.outcome, cut_short, now, memory);
-        });
+        }
         self.on_report(end.server, end.report, end.outcome == Outcome::Served);
         // Where a server is broken for the class, that says nothing of how crowded servers are.
         let reached = !matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset);
@@ -103,12 +103,13 @@
             return;
         }
         let (failing, on_trial, times) = (server.failing, server.ejected.is_some(), server.ejections);
-        let ready: Vec<_> = self.ring().take(2 * self.enough()).map(|id| &self.servers[&id]).collect();
+        let ready: Vec<_> = self.ring().take(2 * self.enough()).collect();
         let room = 2 * ready.iter().filter(|s| s.ejected.is_some()).count() + 2 <= ready.len();
         // What all suffer is no server's fault, and half stay unless they can't be reached from here at all.
         if on_trial || weight >= 1.0 || room && failing > 0.5 && failing > 1.5 * self.failing {
             let until = Some(self.now + self.settings.rules.overload_time * (1 << times.min(4)));
-            self.servers.entry(id).and_modify(|s| (s.ejected, s.ejections) = (until, times + 1));
+            let server = self.servers.get_mut(&id);
+            server.into_iter().for_each(|s| (s.ejected, s.ejections) = (until, times + 1));
         }
     }
 
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -2,7 +2,7 @@
 
 use super::figures::TICK;
 use crate::interface::*;
-use crate::state::{Balancer, Server};
+use crate::state::{Balancer, Server, margin};
 use std::time::Duration;
 
 /// A server's place on the ring: multiplied by the golden ratio's part of 2^64, neighbouring ids fall apart.
@@ -23,35 +23,41 @@
         }
         // One newly listed or restarted has the usual estimate: at zero all nodes would join it at once.
         let near = self.enough().min(self.order.len());
-        let count =
-            self.ring().take(near).map(|id| self.servers[&id].count).sum::<u32>() / near.max(1) as u32;
+        let count = self.ring().take(near).map(|server| server.count).sum::<u32>() / near.max(1) as u32;
         if kind != ListKind::Changes {
             self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
             self.order.clear();
         }
         for entry in entries {
-            let old = self.servers.remove(&entry.id).unwrap_or_default();
+            let place = self.servers.place(entry.id);
+            let old = self.servers.take(place);
             let same = old.entry.id == entry.id && old.entry.started == entry.started;
             let new = Server { out: old.out, drawn: self.now, count, ..Server::default() };
             if entry.state != ServerState::Gone {
-                self.servers.insert(entry.id, Server { entry, ..if same { old } else { new } });
+                self.servers.put(place, Server { entry, ..if same { old } else { new } });
             }
-            match (self.order.binary_search_by_key(&scatter(entry.id), |id| scatter(*id)), entry.state) {
-                (Err(at), ServerState::Ready) => self.order.insert(at, entry.id),
+            let warm_at = entry.started.map(|at| at + margin(self.settings.rules.warm_after));
+            self.warm_at = self.warm_at.max(warm_at.unwrap_or_default());
+            let on_ring = scatter(entry.id);
+            match (self.order.binary_search_by_key(&on_ring, |(at, _)| *at), entry.state) {
+                (Err(at), ServerState::Ready) => self.order.insert(at, (on_ring, place)),
                 (Ok(at), state) if state != ServerState::Ready => drop(self.order.remove(at)),
                 _ => {}
             }
+            if entry.state == ServerState::Gone {
+                self.servers.remove(&entry.id);
+            }
         }
         if kind != ListKind::Changes {
-            self.servers.retain(|_, s| s.entry.state != ServerState::Gone);
+            self.servers.gone().iter().for_each(|id| self.servers.remove(id));
         }
     }
 
     /// All nodes see the same ring of ready servers and start evenly spaced, so that each has as many nodes.
-    pub(super) fn ring(&self) -> impl Iterator<Item = ServerId> + '_ {
+    pub(super) fn ring(&self) -> impl Iterator<Item = &Server> {
         let (node, nodes) = (self.settings.node as usize, self.settings.nodes.max(1) as usize);
         let (before, after) = self.order.split_at(node % nodes * self.order.len() / nodes);
-        after.iter().chain(before).copied()
+        after.iter().chain(before).map(|(_, place)| self.servers.at(*place))
     }
 
     /// Where the list must be asked for: asks when it is time, and again if no answer came.
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -2,13 +2,20 @@
 
 use super::figures::{LEVELS, PRICE_SPEND, SMOOTH};
 use crate::interface::*;
-use crate::state::{Balancer, Request, Server};
+use crate::state::{Balancer, Server};
 use std::time::Duration;
 
 /// A server is to be seen so often within the memory of rates, or else fewer are used, but not under a few.
 const SIGHTINGS: f64 = 3.0;
 const FEW: f64 = 6.0;
 
+/// A list for as many as are ever compared.
+pub(super) fn few<T>(some: impl Iterator<Item = T>) -> Vec<T> {
+    let mut few = Vec::with_capacity(LEVELS);
+    few.extend(some);
+    few
+}
+
 /// One of them at random, as a draw between 0 and 1 falls.
 pub(super) fn any_of(among: &[&Server], draw: f64) -> Option<ServerId> {
     among.get((draw * among.len() as f64) as usize).map(|server| server.entry.id)
@@ -17,8 +24,8 @@
 impl Balancer {
     /// How crowded a server is: what it reported lately, and at least own attempts that are out.
     pub(super) fn crowd(&self, server: &Server) -> f64 {
-        let guess = f64::from(server.out) / (1.0 - server.failing).max(SMOOTH);
-        self.fresh_load(server).map_or(guess, |load| load.max(server.out.into()))
+        let guess = || f64::from(server.out) / (1.0 - server.failing).max(SMOOTH);
+        self.fresh_load(server).map_or_else(guess, |load| load.max(server.out.into()))
     }
 
     /// The load that a probe told of lately, with own sends since.
@@ -36,22 +43,31 @@
     }
 
     /// Soft gate: at this crowding, at least three in four of what was sent have come back in time; luck
-    /// decides where it does not look crowded, since many nodes together may crowd it all the same.
-    pub(super) fn fits(&self, server: &Server, request: &Request, luck: f64) -> bool {
-        let level = self.crowd(server).round() as usize;
-        let chance = luck.powf(request.value);
+    /// decides where it does not look crowded, since many nodes together may crowd it all the same. Returns its
+    /// crowding if it passes, by a `chance` that is luck weighed by what the request is worth.
+    pub(super) fn fits(&self, server: &Server, chance: f64) -> Option<f64> {
+        let crowd = self.crowd(server);
+        let level = crowd.round() as usize;
         let open = chance <= self.taken && (level == 0 || self.in_time[level.min(LEVELS - 1)] >= 0.75);
         // A few are tried in any case, or else nothing would tell of better times.
-        open || server.out == 0 && chance < SMOOTH / 2.0
+        (open || server.out == 0 && chance < SMOOTH / 2.0).then_some(crowd)
     }
 
     /// Join-Up-To(m): the lowest estimate strictly below m, ties at random.
     pub(super) fn below_cap(&self, among: &[&Server], draw: f64) -> Option<ServerId> {
         let cap = self.cap();
-        let estimates: Vec<_> = among.iter().map(|s| self.estimate(s, cap)).collect();
-        let lowest = *estimates.iter().min().filter(|e| **e < cap)?;
-        let ties = among.iter().zip(estimates).filter(|(_, e)| *e == lowest);
-        any_of(&ties.map(|(s, _)| *s).collect::<Vec<_>>(), draw)
+        let (mut lowest, mut ties) = (cap, few(std::iter::empty()));
+        for server in among {
+            let estimate = self.estimate(server, cap);
+            if estimate < lowest {
+                ties.clear();
+            }
+            lowest = lowest.min(estimate);
+            if estimate == lowest && estimate < cap {
+                ties.push(*server);
+            }
+        }
+        any_of(&ties, draw)
     }
 
     /// Own sends since the last idle sign. Where those come from cheap probes and other nodes send as well,
@@ -71,10 +87,9 @@
     }
 
     /// Soft gate: those that are not more crowded than the average.
-    pub(super) fn uncrowded<'a>(&self, among: Vec<&'a Server>) -> Vec<&'a Server> {
-        let crowds: Vec<_> = among.iter().map(|s| self.crowd(s)).collect();
-        let average = crowds.iter().sum::<f64>() / among.len() as f64 + 1e-9;
-        among.into_iter().zip(crowds).filter(|(_, crowd)| *crowd <= average).map(|(s, _)| s).collect()
+    pub(super) fn uncrowded<'a>(&self, among: Vec<(&'a Server, f64)>) -> Vec<&'a Server> {
+        let average = among.iter().map(|(_, crowd)| crowd).sum::<f64>() / among.len() as f64 + 1e-9;
+        few(among.into_iter().filter(|(_, crowd)| *crowd <= average).map(|(s, _)| s))
     }
 
     /// How many servers to choose from: no more than own traffic can keep in view, since a server seen once a
@@ -106,7 +121,7 @@
             let Some(target) = targets.get(draw).copied() else { break };
             targets.retain(|t| *t != target);
             self.probe_tokens -= 1.0;
-            self.servers.entry(target).and_modify(|s| s.probing = true);
+            self.servers.get_mut(&target).into_iter().for_each(|s| s.probing = true);
             self.probes_out += 1;
             actions.push(Action::Probe { server: target });
         }
@@ -121,7 +136,7 @@
     }
 
     pub(super) fn on_probed(&mut self, end: ProbeEnd, actions: &mut Vec<Action>) {
-        self.servers.entry(end.server).and_modify(|s| (s.probing, s.load) = (false, None));
+        self.servers.get_mut(&end.server).into_iter().for_each(|s| (s.probing, s.load) = (false, None));
         match end.outcome {
             Outcome::Served => self.on_report(end.server, end.report, true),
             Outcome::ConnectFailed => self.judge(end.server, 1.0, 1.0),
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -52,7 +52,7 @@
         };
         for attempt in request.attempts.iter_mut().filter(|a| a.outcome.is_none()) {
             (attempt.sent, attempt.counted) = (now, true);
-            self.servers.entry(attempt.to.id).and_modify(|s| s.begin(true));
+            self.servers.get_mut(&attempt.to.id).into_iter().for_each(|s| s.begin(true));
         }
         let (class, terms) = (request.class, request.terms.class.clone());
         let until = self.until(&new, class, &terms);
@@ -67,7 +67,7 @@
         if let Some(begun) = request.attempts.get_mut(attempt as usize) {
             // What follows is a matter of connections: the server's work is done.
             let done = u32::from(std::mem::take(&mut begun.counted));
-            self.servers.entry(begun.to.id).and_modify(|s| s.out -= done.min(s.out));
+            self.servers.get_mut(&begun.to.id).into_iter().for_each(|s| s.out -= done.min(s.out));
         }
         let others = request.attempts.iter().zip(0..).filter(|(a, i)| a.outcome.is_none() && *i != attempt);
         if self.settings.limits.cancel {
--- a/src/policy/send.rs
+++ b/src/policy/send.rs
@@ -1,7 +1,7 @@
 //! Sending: the choice among those permitted, and the only place that sends.
 
 use super::figures::{LEVELS, SMOOTH};
-use super::pick::any_of;
+use super::pick::{any_of, few};
 use crate::interface::*;
 use crate::state::{Attempt, Balancer, Server};
 use std::time::Duration;
@@ -15,9 +15,8 @@
         let (luck, draw) = (self.random(), self.random());
         self.draw_tickets();
         let Some(request) = self.requests.get(&id).filter(|r| !r.done && self.may_go(r)) else { return };
-        let permitted =
-            self.ring().filter_map(|id| self.servers.get(&id)).filter(|s| self.permitted(s, request));
-        let permitted: Vec<_> = permitted.take(self.enough()).collect();
+        let permitted = self.ring().filter(|s| self.permitted(s, request));
+        let permitted = few(permitted.take(self.enough()));
         let again = !request.attempts.is_empty();
         if self.now >= request.until
             || request.spent
@@ -37,10 +36,11 @@
         let due = |s: &Server| trial && s.ejected.is_some_and(|until| self.now >= until && s.out == 0);
         let due: Vec<_> = permitted.iter().copied().filter(|s| due(s)).collect();
         let sound = |s: &&Server| s.ejected.is_none() && !self.broken_for(s, request.class);
-        let sound: Vec<_> = permitted.iter().copied().filter(sound).collect();
+        let sound = few(permitted.iter().copied().filter(|s| due.is_empty() && sound(s)));
         let healthy = [due, sound, permitted].into_iter().find(|some| !some.is_empty()).unwrap_or_default();
-        let fits = healthy.iter().copied().filter(|s| self.fits(s, request, luck));
-        let fitting = self.uncrowded(fits.collect());
+        let chance = luck.powf(request.value);
+        let fits = healthy.iter().filter_map(|s| Some((*s, self.fits(s, chance)?)));
+        let fitting = self.uncrowded(few(fits));
         let (below, any) = (self.below_cap(&fitting, draw), any_of(&fitting, draw));
         let ask = below.is_none() && !request.probed && !self.held.contains(&id);
         let unknown = |s: &&&Server| ask && !s.probing && self.fresh_load(s).is_none();
@@ -84,10 +84,10 @@
             (r.probed, r.until) = (true, if arriving { now + ARRIVING } else { r.until });
             r.attempts.push(attempt);
         });
-        self.servers.entry(to).and_modify(|s| {
+        if let Some(s) = self.servers.get_mut(&to) {
             (s.ticket, s.count) = (Duration::ZERO, s.count + 1);
             s.begin(!arriving);
-        });
+        }
         actions.push(Action::Send { id, server: to, timeout });
         self.retry_tokens -= if again { 1.0 } else { 0.0 };
         self.held.retain(|held| *held != id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,56 @@
     }
 }
 
+/// Servers by id. Each keeps its place for as long as it is kept, so that the ring is walked without looking any up.
+#[derive(Default)]
+pub struct Servers {
+    places: BTreeMap<ServerId, usize>,
+    all: Vec<Server>,
+    free: Vec<usize>,
+}
+
+impl Servers {
+    pub fn get(&self, id: &ServerId) -> Option<&Server> {
+        self.places.get(id).map(|place| &self.all[*place])
+    }
+    pub fn get_mut(&mut self, id: &ServerId) -> Option<&mut Server> {
+        self.places.get(id).map(|place| &mut self.all[*place])
+    }
+    pub fn at(&self, place: usize) -> &Server {
+        &self.all[place]
+    }
+    /// The place of a server, which is made if there is none.
+    pub fn place(&mut self, id: ServerId) -> usize {
+        *self.places.entry(id).or_insert_with(|| {
+            self.free.pop().unwrap_or_else(|| {
+                self.all.push(Server::default());
+                self.all.len() - 1
+            })
+        })
+    }
+    /// Takes a server out of its place, which stays its own.
+    pub fn take(&mut self, place: usize) -> Server {
+        std::mem::take(&mut self.all[place])
+    }
+    pub fn put(&mut self, place: usize, server: Server) {
+        self.all[place] = server;
+    }
+    pub fn remove(&mut self, id: &ServerId) {
+        if let Some(place) = self.places.remove(id) {
+            self.all[place] = Server::default();
+            self.free.push(place);
+        }
+    }
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.all.iter_mut()
+    }
+    /// The ids of those that are gone.
+    pub fn gone(&self) -> Vec<ServerId> {
+        let gone = self.places.iter().filter(|(_, place)| self.all[**place].entry.state == ServerState::Gone);
+        gone.map(|(id, _)| *id).collect()
+    }
+}
+
 /// An attempt, and how it ended.
 pub struct Attempt {
     pub to: ServerEntry,
@@ -149,9 +199,11 @@
     pub(crate) settings: Settings,
     pub(crate) rng: Pcg32,
     pub(crate) now: Duration,
-    pub(crate) servers: BTreeMap<ServerId, Server>,
-    /// The ready servers, in the order of their ring.
-    pub(crate) order: Vec<ServerId>,
+    pub(crate) servers: Servers,
+    /// The ready servers, in the order of their ring: where on it each stands, and its place.
+    pub(crate) order: Vec<(u64, usize)>,
+    /// From then on no server that is listed is cold.
+    pub(crate) warm_at: Duration,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// Requests held for probes, in the order of arrival.
     pub(crate) held: Vec<RequestId>,
@@ -188,6 +240,11 @@
     pub(crate) ask_wait: Duration,
 }
 
+/// How long a server may be cold, and a little more for what sums of shares lose.
+pub(crate) fn margin(warm_after: Duration) -> Duration {
+    warm_after * 65 / 64
+}
+
 impl Balancer {
     /// Nothing known yet.
     pub(crate) fn empty(settings: Settings, rng: Pcg32) -> Self {
@@ -196,6 +253,7 @@
             now: Default::default(),
             servers: Default::default(),
             order: Default::default(),
+            warm_at: Default::default(),
             requests: Default::default(),
             held: Default::default(),
             probes_out: Default::default(),
@@ -243,6 +301,8 @@
         self.patience = patience.collect();
         let allowance = |old: &Option<usize>| old.and_then(|old| self.allowances.get(old)).copied();
         self.allowances = tenants.iter().map(|old| allowance(old).unwrap_or_default()).collect();
+        let started = self.servers.values_mut().filter_map(|server| server.entry.started);
+        self.warm_at = started.max().map(|at| at + margin(new.rules.warm_after)).unwrap_or_default();
         self.settings = new;
     }
 }
