Add the rig: real nodes on loopback, a relay on every path, faults, one judge with the emulator

What the emulator can't show is sockets and processes. hillpick-lab rig starts real nodes, stand-ins of roster servers and of discovery written from the protocol page, and an open-loop load, with a relay on each path that delays, holds, drops one way or both, and resets; it kills, terminates, stops and continues the processes that it started, by id, and ends with them however it ends.

--- a/crates/lab/src/emu/mod.rs
+++ b/crates/lab/src/emu/mod.rs
@@ -3,6 +3,7 @@
 //! `docs/lab.md` says what they leave out.
 
 mod clients;
+mod cold;
 mod faults;
 mod feed;
 mod nodes;
@@ -17,12 +18,15 @@
 use crate::spec::{Experiment, Reports};
 use crate::strategy::{Kind, Make};
 use crate::time::{FOREVER, Nanos, SECOND, secs};
+pub use cold::{Cold, ColdModel};
 use hillpick::ServerState;
 use plan::Plan;
+pub use plan::repeat;
 use queue::Queue;
 use rand_distr::{Distribution, LogNormal};
 use server::Server;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+pub use world::chance;
 use world::*;
 
 /// What `chance` is drawn for.
@@ -265,6 +269,7 @@
             faults: spans.collect(),
             server_work: work,
             events: self.queue.pushed(),
+            processes: None,
         });
         Measured { outcome, response: (self.responses.0 / self.responses.1.max(1) as f64, self.responses.1) }
     }
--- a/crates/lab/src/emu/plan.rs
+++ b/crates/lab/src/emu/plan.rs
@@ -1,5 +1,6 @@
 //! An experiment at one size, made ready to run: names turned into numbers, parts into counts, units into times.
 
+use super::cold::ColdModel;
 use super::server::Model;
 use crate::dist::Sampler;
 use crate::judge::{GOAL, PRICES};
@@ -135,9 +136,11 @@
             warm: secs(servers.warm_s),
             crowded: if servers.crowded > 0.0 { servers.crowded } else { f64::INFINITY },
             crowded_slow: servers.crowded_slow,
-            tip_factor: servers.tip_factor,
-            tip: secs(servers.tip_s),
-            tip_slack: TIP_SLACK * unit,
+            cold: ColdModel {
+                factor: servers.tip_factor,
+                over: secs(servers.tip_s),
+                slack: TIP_SLACK * unit,
+            },
             connections: servers.connections.min(u32::MAX as usize) as u32,
         };
         Plan {
@@ -185,7 +188,8 @@
     }
 }
 
-fn repeat(repeat: Repeat, window_s: f64) -> hillpick::Repeat {
+/// How the module words it.
+pub fn repeat(repeat: Repeat, window_s: f64) -> hillpick::Repeat {
     let keyed = |scope| hillpick::Repeat::Keyed { scope, window: crate::time::duration(secs(window_s)) };
     match repeat {
         Repeat::Safe => hillpick::Repeat::Safe,
--- a/crates/lab/src/emu/server.rs
+++ b/crates/lab/src/emu/server.rs
@@ -1,6 +1,7 @@
 //! A server: cores, a first-come queue with a waiting room, a cold start, and what may be wrong with it. It knows work
 //! in seconds of a standard core, and nothing of nodes or networks.
 
+use super::cold::{Cold, ColdModel};
 use crate::time::{FOREVER, Nanos, in_secs, secs};
 use std::collections::VecDeque;
 
@@ -22,12 +23,8 @@
     pub crowded: f64,
     /// By this factor.
     pub crowded_slow: f64,
-    /// A cold one falls over at this multiple of its capacity ...
-    pub tip_factor: f64,
-    /// ... over so long.
-    pub tip: Nanos,
-    /// Work beyond that which is put down to chance, in s.
-    pub tip_slack: f64,
+    /// What a cold one can take.
+    pub cold: ColdModel,
     /// Connections that it holds.
     pub connections: u32,
 }
@@ -59,15 +56,6 @@
     pub plan: u32,
 }
 
-/// Work that has come to a cold server lately.
-#[derive(Clone, Copy)]
-struct Came {
-    at: Nanos,
-    work: f64,
-    /// From a node that had been told of the start.
-    told: bool,
-}
-
 /// What came of an attempt that reached a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Entered {
@@ -110,7 +98,7 @@
     pub connections: u32,
     /// Attempts that came while it was silent.
     pub lost: Vec<AttemptNo>,
-    came: VecDeque<Came>,
+    cold: Cold,
     plans: u32,
     /// Work done so far, in s of a standard core.
     pub done: f64,
@@ -138,7 +126,7 @@
             errs: Vec::new(),
             connections: 0,
             lost: Vec::new(),
-            came: VecDeque::new(),
+            cold: Cold::default(),
             plans: 0,
             done: 0.0,
             idle_spell: 0,
@@ -345,25 +333,17 @@
     /// Its process starts, cold.
     pub fn start(&mut self, now: Nanos) {
         (self.state, self.draining, self.started) = (State::Up, false, Some(now));
-        self.came.clear();
+        self.cold = Cold::default();
     }
 
     /// Work reaches it, also work that it turns away. While it is cold, says whether that is more than it can take:
     /// `Some(true)` if two thirds of it came from nodes that had been told of its start.
     pub fn is_pushed_over(&mut self, model: &Model, now: Nanos, work: f64, told: bool) -> Option<bool> {
-        let warmth = self.warmth(model, now);
-        if warmth >= 1.0 || model.tip == 0 || model.tip_factor <= 0.0 {
-            self.came.clear();
+        if self.warmth(model, now) >= 1.0 {
             return None;
         }
-        self.came.push_back(Came { at: now, work, told });
-        while self.came.front().is_some_and(|came| came.at + model.tip < now) {
-            self.came.pop_front();
-        }
-        let all: f64 = self.came.iter().map(|came| came.work).sum();
-        let allowed = model.tip_factor * self.capacity(model, now) * in_secs(model.tip) + model.tip_slack;
-        let from_told: f64 = self.came.iter().filter(|came| came.told).map(|came| came.work).sum();
-        (all > allowed).then_some(3.0 * from_told >= 2.0 * all)
+        let capacity = self.capacity(model, now);
+        self.cold.is_pushed_over(&model.cold, now, capacity, work, told)
     }
 }
 
@@ -380,9 +360,7 @@
             warm: 10 * SECOND,
             crowded: f64::INFINITY,
             crowded_slow: 1.0,
-            tip_factor: 3.0,
-            tip: 3 * SECOND,
-            tip_slack: 0.0,
+            cold: ColdModel { factor: 3.0, over: 3 * SECOND, slack: 0.0 },
             connections: 10,
         }
     }
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -14,7 +14,7 @@
 pub const GOAL: Goal = Goal { whole: 0.55, worst_window: 0.15, worst_class: 0.3, worst_tenant: 0.0 };
 
 /// The figures of a run that expectations may name.
-pub const FIGURES: [&str; 25] = [
+pub const FIGURES: [&str; 27] = [
     "served",
     "worst_1s",
     "worst_10s",
@@ -40,6 +40,8 @@
     "fallen",
     "broken",
     "requests",
+    "cpu_us",
+    "memory_mb",
 ];
 
 /// One of the four rules, in the order of the wire's page.
@@ -267,6 +269,8 @@
     pub server_work: Vec<f64>,
     /// Events played.
     pub events: u64,
+    /// Where nodes are processes: the processor time of all in s, and the most memory of one in MB.
+    pub processes: Option<(f64, f64)>,
 }
 
 impl Judge {
@@ -383,8 +387,12 @@
             tally.fallen as f64,
             self.broken_count.values().sum::<u64>() as f64,
             all.requests as f64,
+            run.processes.map_or(f64::NAN, |(cpu_s, _)| cpu_s * 1e6 / requests),
+            run.processes.map_or(f64::NAN, |(_, memory_mb)| memory_mb),
         ];
-        let figures = FIGURES.iter().zip(values).map(|(name, value)| (name.to_string(), value)).collect();
+        // What no run can tell, for want of requests or of processes, is left out.
+        let told = FIGURES.iter().zip(values).filter(|(_, value)| value.is_finite());
+        let figures = told.map(|(name, value)| (name.to_string(), value)).collect();
         let name = |cause: &Cause| serde_json::to_value(cause).ok()?.as_str().map(String::from);
         let lost =
             self.lost.iter().filter_map(|(cause, worth)| Some((name(cause)?, worth / asked))).collect();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod paper;
 pub mod report;
 pub mod results;
+pub mod rig;
 pub mod size;
 pub mod spec;
 pub mod stats;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,10 +2,11 @@
 
 use clap::{Parser, Subcommand};
 use hillpick_lab::results::{self, Verdict};
+use hillpick_lab::rig::spec::Rig;
 use hillpick_lab::size::Size;
 use hillpick_lab::spec::Experiment;
 use hillpick_lab::stats::Mean;
-use hillpick_lab::{judge, paper, report};
+use hillpick_lab::{judge, paper, report, rig};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -46,6 +47,39 @@
         /// DIR or DIR:STRATEGY
         b: String,
     },
+    /// Runs real nodes on loopback, with faults between them, and judges them
+    Rig {
+        /// The rig file
+        file: PathBuf,
+        /// The node's program; `sillward` beside this one if not given
+        #[arg(long, value_name = "PATH")]
+        node: Option<PathBuf>,
+        /// In place of the file's seed
+        #[arg(long, value_name = "N")]
+        seed: Option<u64>,
+    },
+    /// Holds the node's throughput and processor time against a bare pass-through
+    Throughput {
+        /// The node's program; `sillward` beside this one if not given
+        #[arg(long, value_name = "PATH")]
+        node: Option<PathBuf>,
+        /// So long each time, in s
+        #[arg(long, default_value_t = 2.0)]
+        seconds: f64,
+    },
+    /// A bare pass-through to these addresses, separated by commas
+    #[command(hide = true)]
+    Pass {
+        /// The addresses
+        #[arg(value_delimiter = ',')]
+        to: Vec<std::net::SocketAddr>,
+    },
+    /// Starts a program that ends when this one's parent does
+    #[command(hide = true)]
+    Guard {
+        /// The program
+        program: PathBuf,
+    },
     /// Makes one page of a folder of results: DIR/report.html
     Report {
         /// The folder
@@ -81,6 +115,10 @@
         }
         Command::Compare { a, b } => compare(&a, &b).map(|()| true),
         Command::Report { dir } => make_report(&dir).map(|()| true),
+        Command::Rig { file, node, seed } => run_rig(&file, node, seed),
+        Command::Guard { program } => guard(&program),
+        Command::Throughput { node, seconds } => throughput(node, seconds),
+        Command::Pass { to } => rig::throughput::pass(to).map(|()| true).map_err(Into::into),
         Command::List { dir } => list(&dir),
         Command::Paper { quick } => Ok(hold_against_the_paper(quick)),
     };
@@ -232,6 +270,19 @@
     Ok(())
 }
 
+/// The sizes of an experiment or a rig, and what it asks.
+fn about(file: &Path) -> Result<(String, String), Failure> {
+    // A rig's file says how many nodes there are; in an experiment's, nodes are a table.
+    let table: toml::Table = std::fs::read_to_string(file)?.parse().unwrap_or_default();
+    if table.get("nodes").is_some_and(toml::Value::is_integer) {
+        let rig = Rig::read(file)?;
+        return Ok((format!("rig {}x{}", rig.nodes, rig.servers), rig.about));
+    }
+    let it = Experiment::read(file)?;
+    let sizes: Vec<_> = it.sizes.iter().map(ToString::to_string).collect();
+    Ok((sizes.join(" "), it.about))
+}
+
 /// Every experiment below a folder; false if one of them is no good.
 fn list(dir: &Path) -> Result<bool, Failure> {
     let mut folders = vec![dir.to_path_buf()];
@@ -249,11 +300,8 @@
     files.sort();
     let mut good = true;
     for file in files {
-        match Experiment::read(&file) {
-            Ok(it) => {
-                let sizes: Vec<_> = it.sizes.iter().map(ToString::to_string).collect();
-                println!("{:<40} {:<26} {}", file.display(), sizes.join(" "), it.about);
-            }
+        match about(&file) {
+            Ok((sizes, about)) => println!("{:<46} {sizes:<26} {about}", file.display()),
             Err(what) => {
                 good = false;
                 println!("{what}");
@@ -263,6 +311,88 @@
     Ok(good)
 }
 
+/// Becomes the program, and ends with the parent, however that ends.
+fn guard(program: &Path) -> Result<bool, Failure> {
+    use std::os::unix::process::CommandExt;
+    let parent = rustix::process::getppid();
+    rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL))?;
+    if rustix::process::getppid() != parent {
+        return Err("its parent has gone".into());
+    }
+    Err(std::process::Command::new(program).exec().into())
+}
+
+/// The node's program, guarded by this one, and a folder for its files.
+fn program(node: Option<PathBuf>) -> Result<(rig::Program, PathBuf), Failure> {
+    let this = std::env::current_exe()?;
+    let node = node.unwrap_or_else(|| this.with_file_name("sillward"));
+    if !node.exists() {
+        return Err(format!("{}: no node there; build it by `cargo build --release`", node.display()).into());
+    }
+    let folder = std::env::temp_dir().join(format!("hillpick-rig-{}", std::process::id()));
+    Ok((rig::Program { node, guard: Some(this) }, folder))
+}
+
+/// Plays something with processes until it ends or is interrupted. Nothing is left behind, whatever happens: processes
+/// end with what holds them, and their files are removed.
+fn with_processes<T>(folder: &Path, what: impl Future<Output = std::io::Result<T>>) -> Result<T, Failure> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
+    let ended = runtime.block_on(async {
+        let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+        tokio::select! {
+            ended = what => ended,
+            _ = tokio::signal::ctrl_c() => Err(std::io::Error::other("interrupted")),
+            _ = terminate.recv() => Err(std::io::Error::other("told to stop")),
+        }
+    });
+    runtime.shutdown_timeout(std::time::Duration::from_secs(5));
+    if folder.exists() {
+        std::fs::remove_dir_all(folder)?;
+    }
+    Ok(ended?)
+}
+
+fn throughput(node: Option<PathBuf>, seconds: f64) -> Result<bool, Failure> {
+    let (program, folder) = program(node)?;
+    let lab = std::env::current_exe()?;
+    let compared = with_processes(&folder, rig::throughput::compare(&program, &lab, &folder, seconds))?;
+    println!("{:<10}{:>14}{:>14}{:>14}{:>14}", "round", "node 1/s", "bare 1/s", "node us", "bare us");
+    for (round, (node, bare)) in compared.node.iter().zip(&compared.bare).enumerate() {
+        let (a, b, c, d) = (node.per_s, bare.per_s, node.cpu_us, bare.cpu_us);
+        println!("{:<10}{a:>14.0}{b:>14.0}{c:>14.1}{d:>14.1}", round + 1);
+    }
+    let (per_s, cpu) = (compared.ratio(|round| round.per_s), compared.ratio(|round| round.cpu_us));
+    println!("node over bare: {:.2} +- {:.2} of the throughput", per_s.mean, per_s.half);
+    println!("node over bare: {:.2} +- {:.2} of the processor time a request", cpu.mean, cpu.half);
+    Ok(true)
+}
+
+fn run_rig(file: &Path, node: Option<PathBuf>, seed: Option<u64>) -> Result<bool, Failure> {
+    let mut rig = Rig::read(file)?;
+    rig.seed = seed.unwrap_or(rig.seed);
+    let (program, folder) = program(node)?;
+    let outcome = with_processes(&folder, rig::run(&rig, &program, &folder))?;
+    println!("{}: {}", rig.name, rig.about);
+    for (figure, value) in &outcome.figures {
+        println!("{figure:<22}{value:>14.4}");
+    }
+    for (cause, share) in &outcome.lost {
+        println!("{:<22}{share:>14.4}", format!("lost: {cause}"));
+    }
+    for judge::Broken { rule, request, node, at_s, seed, what } in outcome.broken.iter().take(20) {
+        println!(
+            "rule {rule:?} broken: request {request:016x}, node {node}, {at_s:.3} s, seed {seed}: {what}"
+        );
+    }
+    let mut good = outcome.broken.is_empty();
+    for wanted in &rig.expect {
+        let (got, holds) = wanted.holds(|figure| outcome.figures.get(&figure.metric).copied());
+        println!("{}  {wanted}: {got:.4}", if holds { "holds " } else { "FAILED" });
+        good &= holds;
+    }
+    Ok(good)
+}
+
 fn hold_against_the_paper(quick: bool) -> bool {
     println!(
         "{:<40}{:>12}{:>12}{:>12}{:>12}{:>10}",
--- a/crates/lab/src/spec.rs
+++ b/crates/lab/src/spec.rs
@@ -331,7 +331,7 @@
 }
 
 /// The two classes of the operators' site, with their times in units of the mean work.
-fn classes() -> Vec<Class> {
+pub(crate) fn classes() -> Vec<Class> {
     let class = |name: &str, share, worth, mean, repeat| Class {
         name: name.into(),
         share,
