--- a/crates/lab/src/rig/spec.rs
+++ b/crates/lab/src/rig/spec.rs
@@ -162,6 +162,13 @@
     pub fn parse(file: &str, text: &str) -> Result<Self, Problem> {
         let form = |source| Problem::Form { file: file.to_string(), source: Box::new(source) };
         let rig: Rig = toml::from_str(text).map_err(form)?;
+        rig.check(file)?;
+        Ok(rig)
+    }
+
+    /// Whether its figures are within bounds; `file` is what messages call it.
+    pub fn check(&self, file: &str) -> Result<(), Problem> {
+        let rig = self;
         let within = |key: &str, value: f64, least: f64, most: f64| {
             if (least..=most).contains(&value) {
                 return Ok(());
@@ -194,6 +201,6 @@
                 });
             }
         }
-        Ok(rig)
+        Ok(())
     }
 }
