--- /dev/null
+++ b/crates/fleet/src/agreement.rs
@@ -0,0 +1,177 @@
+//! How far members agree. Each says the digest of its view in every datagram; a node counts how many of those that it
+//! heard lately hold its own. Nothing here elects, and nothing needs a majority: it only says how sure a node may be.
+
+use crate::identity::{Identity, Name};
+use crate::wire;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// So many of those heard have to hold the same view: a change takes a few rounds to reach all.
+const AGREED: f64 = 0.9;
+/// News of another's view counts for so many probe periods: by then each node has been heard, or has been probed by,
+/// a score of others.
+const FRESH_PERIODS: u32 = 10;
+/// And it has to have been so for as long as a change needs to spread.
+const SETTLED_PERIODS: u32 = 3;
+
+/// How sure a node may be of its view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Certainty {
+    /// Nearly all that it hears hold the same view, have for some time, and it is more than half of the tier.
+    Agreed,
+    /// They don't, or not for long, or it hears too few to tell.
+    Diverging,
+    /// It sees half of the configured tier or less: the others may be alive where it can't see them.
+    Minority,
+}
+
+/// What a node knows of the others' views.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Agreement {
+    /// How sure it may be.
+    pub certainty: Certainty,
+    /// Members that were heard lately, and the share of them that hold the same view.
+    pub heard: usize,
+    /// Likewise; 1 if none was heard.
+    pub share: f64,
+    /// Since when it has been as sure as this.
+    pub since: Duration,
+    /// Members in the view, this node included.
+    pub members: usize,
+    /// The digest of the view.
+    pub digest: u64,
+    /// How many nodes may be alive: the members if agreed, else no fewer than the configured tier.
+    pub could_be_alive: usize,
+}
+
+/// A member's part of a digest. Digests are sums: they don't hang on an order.
+pub fn part(member: &Identity) -> u64 {
+    let bytes = [
+        String::from(member.name.clone()).as_bytes(),
+        &member.started_ms.to_be_bytes(),
+        &member.renewed.to_be_bytes(),
+    ]
+    .concat();
+    // Sums of FNV alone would let single bits cancel out.
+    wire::hash(&bytes).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(31)
+}
+
+/// The views that were heard.
+#[derive(Debug, Default)]
+pub struct Views {
+    /// By member: the digest that it said last, and when.
+    heard: BTreeMap<Name, (u64, Duration)>,
+    /// Since when nearly all agree.
+    alike_since: Option<Duration>,
+    state: Option<(Certainty, Duration)>,
+}
+
+impl Views {
+    /// A member has said the digest of its view.
+    pub fn hear(&mut self, member: &Name, digest: u64, now: Duration) {
+        self.heard.insert(member.clone(), (digest, now));
+    }
+
+    /// A member is gone: what it said counts no more.
+    pub fn forget(&mut self, member: &Name) {
+        self.heard.remove(member);
+    }
+
+    /// How far the others agree with a view of so many members and this digest. `tier` is how many nodes are configured.
+    pub fn judge(
+        &mut self,
+        (members, digest): (usize, u64),
+        tier: usize,
+        period: Duration,
+        now: Duration,
+    ) -> Agreement {
+        let fresh = period * FRESH_PERIODS;
+        self.heard.retain(|_, (_, at)| now.saturating_sub(*at) <= fresh);
+        let heard = self.heard.len();
+        let same = self.heard.values().filter(|(said, _)| *said == digest).count();
+        let share = if heard == 0 { 1.0 } else { same as f64 / heard as f64 };
+        // Who hears almost nobody can't tell whether they agree; alone in a tier of one there is nobody to ask.
+        let enough = heard >= members.saturating_sub(1).min(3);
+        if share < AGREED || !enough {
+            self.alike_since = None;
+        } else {
+            self.alike_since = self.alike_since.or(Some(now));
+        }
+        let settled =
+            self.alike_since.is_some_and(|since| now.saturating_sub(since) >= period * SETTLED_PERIODS);
+        let certainty = if 2 * members <= tier && tier > 1 {
+            Certainty::Minority
+        } else if settled || tier == 1 && members == 1 {
+            Certainty::Agreed
+        } else {
+            Certainty::Diverging
+        };
+        let since = match self.state {
+            Some((before, since)) if before == certainty => since,
+            _ => now,
+        };
+        self.state = Some((certainty, since));
+        let could_be_alive = if certainty == Certainty::Agreed { members } else { members.max(tier) };
+        Agreement { certainty, heard, share, since, members, digest, could_be_alive }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::identity::Address;
+
+    const PERIOD: Duration = Duration::from_secs(1);
+
+    fn name(number: usize) -> Name {
+        Name::try_from(format!("n{number}")).unwrap()
+    }
+
+    fn at(seconds: u64) -> Duration {
+        Duration::from_secs(seconds)
+    }
+
+    #[test]
+    fn nearly_all_for_some_time_is_agreed() {
+        let mut views = Views::default();
+        (0..9).for_each(|n| views.hear(&name(n), 5, at(0)));
+        assert_eq!(views.judge((10, 5), 10, PERIOD, at(0)).certainty, Certainty::Diverging);
+        let agreed = views.judge((10, 5), 10, PERIOD, at(3));
+        assert_eq!((agreed.certainty, agreed.could_be_alive, agreed.since), (Certainty::Agreed, 10, at(3)));
+        // Two of nine with another view are too many, and what was heard long ago counts no more.
+        views.hear(&name(0), 6, at(3));
+        assert_eq!(views.judge((10, 5), 10, PERIOD, at(3)).share, 8.0 / 9.0);
+        assert_eq!(views.judge((10, 5), 10, PERIOD, at(4)).certainty, Certainty::Diverging);
+        let alone = views.judge((10, 5), 10, PERIOD, at(20));
+        assert_eq!((alone.heard, alone.certainty, alone.could_be_alive), (0, Certainty::Diverging, 10));
+    }
+
+    /// Half is a minority on both sides: neither may take the other half for dead.
+    #[test]
+    fn half_of_the_tier_is_a_minority_whatever_they_agree_on() {
+        let mut views = Views::default();
+        (0..4).for_each(|n| views.hear(&name(n), 5, at(0)));
+        views.judge((5, 5), 10, PERIOD, at(0));
+        let half = views.judge((5, 5), 10, PERIOD, at(9));
+        assert_eq!((half.certainty, half.could_be_alive, half.share), (Certainty::Minority, 10, 1.0));
+        views.judge((6, 5), 10, PERIOD, at(9));
+        assert_eq!(views.judge((6, 5), 10, PERIOD, at(10)).certainty, Certainty::Agreed);
+        assert_eq!(Views::default().judge((1, 5), 1, PERIOD, at(0)).certainty, Certainty::Agreed);
+    }
+
+    #[test]
+    fn digests_are_of_lives_and_not_of_an_order() {
+        let member = |number: usize, started_ms: u64| Identity {
+            name: name(number),
+            started_ms,
+            renewed: 0,
+            address: Address::Seat(number as u16),
+            zone: 0,
+            program: 1,
+        };
+        let sum = |members: &[Identity]| members.iter().map(part).fold(0u64, u64::wrapping_add);
+        assert_eq!(sum(&[member(1, 1), member(2, 2)]), sum(&[member(2, 2), member(1, 1)]));
+        assert_ne!(sum(&[member(1, 1), member(2, 2)]), sum(&[member(1, 2), member(2, 1)]));
+        assert_ne!(sum(&[member(1, 1)]), sum(&[Identity { renewed: 1, ..member(1, 1) }]));
+    }
+}
