--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -1,5 +1,6 @@
 //! Members on a network in virtual time: datagrams are late, lost, doubled or cut off, nodes die, start anew, stand still
 //! or starve. Everything comes from one seed.
+#![allow(dead_code)] // each test file uses its own part of this
 
 use hillpick_fleet::{Address, Cause, Certainty, Change, Identity, Membership, Name, Output, Settings};
 use rand::{Rng, SeedableRng};
@@ -38,6 +39,9 @@
     latest: BTreeMap<Name, (u64, u16)>,
 }
 
+/// When, in which order, where, in which life, and what.
+type Entry = Reverse<(Duration, u64, usize, u64, Ev)>;
+
 type Cut = Box<dyn Fn(usize, usize) -> bool>;
 
 pub struct Net {
@@ -50,7 +54,7 @@
     pub random: Pcg64Mcg,
     pub settings: Settings,
     pub bytes: u64,
-    queue: BinaryHeap<Reverse<(Duration, u64, usize, u64, Ev)>>,
+    queue: BinaryHeap<Entry>,
     order: u64,
 }
 
