--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,9 +7,14 @@
 use hillpick_lab::spec::Experiment;
 use hillpick_lab::stats::Mean;
 use hillpick_lab::{judge, paper, report, rig};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+macro_rules! say {
+    ($($line:tt)*) => { say(format_args!($($line)*)) };
+}
+
 /// An emulator of a fleet of hillpick nodes, a rig of real ones, experiments and reports.
 #[derive(Parser)]
 #[command(name = "hillpick-lab", version, about)]
@@ -102,6 +107,11 @@
     },
 }
 
+/// A line on standard output. Who reads no further, such as `head`, is no reason to stop.
+fn say(line: std::fmt::Arguments) {
+    let _ = writeln!(std::io::stdout().lock(), "{line}");
+}
+
 fn size(text: &str) -> Result<Size, String> {
     Size::try_from(text.to_string())
 }
@@ -157,19 +167,19 @@
     let seeds = seeds.unwrap_or(experiment.seeds).max(1);
     let jobs = results::jobs(&experiment, &experiment.sizes, seeds);
     let outcomes = results::play(&experiment, &jobs, out, false)?;
-    println!("{}: {}", experiment.name, experiment.about);
+    say!("{}: {}", experiment.name, experiment.about);
     for size in &experiment.sizes {
-        print!("{}", table(&experiment, &size.to_string(), seeds, &outcomes));
+        say!("{}", table(&experiment, &size.to_string(), seeds, &outcomes));
     }
     let verdicts = results::verdicts(&experiment, &experiment.sizes, &outcomes);
     for Verdict { size, expected, got, holds } in &verdicts {
-        println!("{}  {size:>10}  {expected}: {got:.4}", if *holds { "holds " } else { "FAILED" });
+        say!("{}  {size:>10}  {expected}: {got:.4}", if *holds { "holds " } else { "FAILED" });
     }
     for broken in
         outcomes.iter().filter(|outcome| outcome.strategy == "module").flat_map(|o| &o.broken).take(5)
     {
         let judge::Broken { rule, request, node, at_s, seed, what } = broken;
-        println!("rule {rule:?} broken: request {request}, node {node}, {at_s:.6} s, seed {seed}: {what}");
+        say!("rule {rule:?} broken: request {request}, node {node}, {at_s:.6} s, seed {seed}: {what}");
     }
     if let Some(folder) = out {
         results::summarize(folder, &experiment, &verdicts)?;
@@ -203,7 +213,7 @@
             text += &format!("{:>14.4}", sum / runs.len().max(1) as f64);
         }
     }
-    text + "\n"
+    text
 }
 
 fn side(text: &str) -> Result<(Vec<judge::Outcome>, Option<String>), Failure> {
@@ -236,10 +246,7 @@
     groups.sort();
     groups.dedup();
     for (size, of_a, of_b) in groups {
-        println!(
-            "\n{size}: A = {of_a}, B = {of_b}\n{:<22}{:>12}{:>12}{:>14}{:>12}",
-            "", "A", "B", "B - A", "+-"
-        );
+        say!("\n{size}: A = {of_a}, B = {of_b}\n{:<22}{:>12}{:>12}{:>14}{:>12}", "", "A", "B", "B - A", "+-");
         for figure in judge::FIGURES {
             let of = |o: &judge::Outcome| o.figures.get(figure).copied().filter(|value| value.is_finite());
             let here =
@@ -252,7 +259,7 @@
                 |side: fn(&(f64, f64)) -> f64| Mean::of(&both.iter().map(side).collect::<Vec<_>>()).mean;
             let by = Mean::of(&both.iter().map(|(a, b)| b - a).collect::<Vec<_>>());
             let verdict = if by.is_noise() { "noise" } else { "" };
-            println!(
+            say!(
                 "{figure:<22}{:>12.4}{:>12.4}{:>14.4}{:>12.4}  {verdict}",
                 mean(|both| both.0),
                 mean(|both| both.1),
@@ -272,7 +279,7 @@
     let verdicts = results::verdicts(&experiment, &sizes, &outcomes);
     let file = dir.join("report.html");
     std::fs::write(&file, report::page(&experiment, &outcomes, &verdicts)?)?;
-    println!("{}", file.display());
+    say!("{}", file.display());
     Ok(())
 }
 
@@ -307,10 +314,10 @@
     let mut good = true;
     for file in files {
         match about(&file) {
-            Ok((sizes, about)) => println!("{:<46} {sizes:<26} {about}", file.display()),
+            Ok((sizes, about)) => say!("{:<46} {sizes:<26} {about}", file.display()),
             Err(what) => {
                 good = false;
-                println!("{what}");
+                say!("{what}");
             }
         }
     }
@@ -362,14 +369,14 @@
     let (program, folder) = program(node)?;
     let lab = std::env::current_exe()?;
     let compared = with_processes(&folder, rig::throughput::compare(&program, &lab, &folder, seconds))?;
-    println!("{:<10}{:>14}{:>14}{:>14}{:>14}", "round", "node 1/s", "bare 1/s", "node us", "bare us");
+    say!("{:<10}{:>14}{:>14}{:>14}{:>14}", "round", "node 1/s", "bare 1/s", "node us", "bare us");
     for (round, (node, bare)) in compared.node.iter().zip(&compared.bare).enumerate() {
         let (a, b, c, d) = (node.per_s, bare.per_s, node.cpu_us, bare.cpu_us);
-        println!("{:<10}{a:>14.0}{b:>14.0}{c:>14.1}{d:>14.1}", round + 1);
+        say!("{:<10}{a:>14.0}{b:>14.0}{c:>14.1}{d:>14.1}", round + 1);
     }
     let (per_s, cpu) = (compared.ratio(|round| round.per_s), compared.ratio(|round| round.cpu_us));
-    println!("node over bare: {:.2} +- {:.2} of the throughput", per_s.mean, per_s.half);
-    println!("node over bare: {:.2} +- {:.2} of the processor time a request", cpu.mean, cpu.half);
+    say!("node over bare: {:.2} +- {:.2} of the throughput", per_s.mean, per_s.half);
+    say!("node over bare: {:.2} +- {:.2} of the processor time a request", cpu.mean, cpu.half);
     Ok(true)
 }
 
@@ -387,37 +394,32 @@
     rig.seed = seed.unwrap_or(rig.seed);
     let (program, folder) = program(node)?;
     let outcome = with_processes(&folder, rig::run(&rig, &program, &folder))?;
-    println!("{}: {}", rig.name, rig.about);
+    say!("{}: {}", rig.name, rig.about);
     for (figure, value) in &outcome.figures {
-        println!("{figure:<22}{value:>14.4}");
+        say!("{figure:<22}{value:>14.4}");
     }
     for (cause, share) in &outcome.lost {
-        println!("{:<22}{share:>14.4}", format!("lost: {cause}"));
+        say!("{:<22}{share:>14.4}", format!("lost: {cause}"));
     }
     for judge::Broken { rule, request, node, at_s, seed, what } in outcome.broken.iter().take(20) {
-        println!(
-            "rule {rule:?} broken: request {request:016x}, node {node}, {at_s:.3} s, seed {seed}: {what}"
-        );
+        say!("rule {rule:?} broken: request {request:016x}, node {node}, {at_s:.3} s, seed {seed}: {what}");
     }
     let mut good = outcome.broken.is_empty();
     for wanted in &rig.expect {
         let (got, holds) = wanted.holds(|figure| outcome.figures.get(&figure.metric).copied());
-        println!("{}  {wanted}: {got:.4}", if holds { "holds " } else { "FAILED" });
+        say!("{}  {wanted}: {got:.4}", if holds { "holds " } else { "FAILED" });
         good &= holds;
     }
     Ok(good)
 }
 
 fn hold_against_the_paper(quick: bool) -> bool {
-    println!(
-        "{:<40}{:>12}{:>12}{:>12}{:>12}{:>10}",
-        "mean response time", "known", "+-", "ours", "+-", "off by"
-    );
+    say!("{:<40}{:>12}{:>12}{:>12}{:>12}{:>10}", "mean response time", "known", "+-", "ours", "+-", "off by");
     let tell = |line: &paper::Line| {
         let paper::Line { what, known, ours } = line;
         let off = ours.mean / known.mean - 1.0;
         let verdict = if line.holds() { "" } else { "  OFF" };
-        println!(
+        say!(
             "{what:<40}{:>12.4}{:>12.4}{:>12.4}{:>12.4}{:>9.2}%{verdict}",
             known.mean,
             known.half,
@@ -429,6 +431,6 @@
     let mut lines = paper::closed_forms();
     lines.iter().for_each(tell);
     lines.extend(paper::table(quick, tell));
-    paper::starred().iter().for_each(|line| println!("{line}"));
+    paper::starred().iter().for_each(|line| say!("{line}"));
     lines.iter().all(paper::Line::holds)
 }
