--- a/crates/fleet/src/agreement.rs
+++ b/crates/fleet/src/agreement.rs
@@ -25,6 +25,31 @@
     Minority,
 }
 
+impl Certainty {
+    /// How sure a node may be that holds so many members of a configured tier, where nearly all that it hears have held
+    /// the same view for some time, or not.
+    pub fn of(members: usize, tier: usize, settled: bool) -> Self {
+        if 2 * members <= tier && tier > 1 {
+            Certainty::Minority
+        } else if settled || tier == 1 && members == 1 {
+            Certainty::Agreed
+        } else {
+            Certainty::Diverging
+        }
+    }
+
+    /// How many nodes may be alive: the members if that is agreed, else no fewer than the configured tier.
+    pub fn could_be_alive(self, members: usize, tier: usize) -> usize {
+        if self == Certainty::Agreed { members } else { members.max(tier) }
+    }
+
+    /// Whether so many of those heard hold the same view that they are nearly all, and enough were heard to tell: three
+    /// others, or all if there are fewer. Who hears almost nobody can't tell whether they agree.
+    pub fn is_alike(same: usize, heard: usize, members: usize) -> bool {
+        heard >= members.saturating_sub(1).min(3) && same as f64 >= AGREED * heard as f64
+    }
+}
+
 /// What a node knows of the others' views.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Agreement {
@@ -90,28 +115,20 @@
         let heard = self.heard.len();
         let same = self.heard.values().filter(|(said, _)| *said == digest).count();
         let share = if heard == 0 { 1.0 } else { same as f64 / heard as f64 };
-        // Who hears almost nobody can't tell whether they agree; alone in a tier of one there is nobody to ask.
-        let enough = heard >= members.saturating_sub(1).min(3);
-        if share < AGREED || !enough {
-            self.alike_since = None;
-        } else {
+        if Certainty::is_alike(same, heard, members) {
             self.alike_since = self.alike_since.or(Some(now));
+        } else {
+            self.alike_since = None;
         }
         let settled =
             self.alike_since.is_some_and(|since| now.saturating_sub(since) >= period * SETTLED_PERIODS);
-        let certainty = if 2 * members <= tier && tier > 1 {
-            Certainty::Minority
-        } else if settled || tier == 1 && members == 1 {
-            Certainty::Agreed
-        } else {
-            Certainty::Diverging
-        };
+        let certainty = Certainty::of(members, tier, settled);
         let since = match self.state {
             Some((before, since)) if before == certainty => since,
             _ => now,
         };
         self.state = Some((certainty, since));
-        let could_be_alive = if certainty == Certainty::Agreed { members } else { members.max(tier) };
+        let could_be_alive = certainty.could_be_alive(members, tier);
         Agreement { certainty, heard, share, since, members, digest, could_be_alive }
     }
 }
