--- a/crates/lab/src/emu/mod.rs
+++ b/crates/lab/src/emu/mod.rs
@@ -278,7 +278,7 @@
             faults: spans.collect(),
             server_work: work,
             events: self.queue.pushed(),
-            processes: None,
+            processes: Vec::new(),
         });
         Measured { outcome, response: (self.responses.0 / self.responses.1.max(1) as f64, self.responses.1) }
     }
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -218,6 +218,8 @@
     pub minds: Vec<(f64, bool)>,
     /// Broken rules, the first few of each.
     pub broken: Vec<Broken>,
+    /// Where nodes are processes: of each, its processor time in s and its most memory in MB.
+    pub processes: Vec<(f64, f64)>,
     /// Events played, for the speed of the emulator; the same in every run of a seed.
     pub events: u64,
 }
@@ -287,8 +289,8 @@
     pub server_work: Vec<f64>,
     /// Events played.
     pub events: u64,
-    /// Where nodes are processes: the processor time of all in s, and the most memory of one in MB.
-    pub processes: Option<(f64, f64)>,
+    /// Where nodes are processes: of each, its processor time in s and its most memory in MB.
+    pub processes: Vec<(f64, f64)>,
 }
 
 impl Judge {
@@ -382,6 +384,7 @@
             - prices.probe * probes
             - prices.waste * waste.max(0.0);
         let node_seconds = self.windows.len() as f64 * run.nodes as f64;
+        let cpu_s: f64 = run.processes.iter().map(|(cpu_s, _)| cpu_s).sum();
         let known = sorted(&self.knows);
         let first = sorted(&self.first);
         let values = [
@@ -410,8 +413,8 @@
             tally.fallen as f64,
             self.broken_count.values().sum::<u64>() as f64,
             all.requests as f64,
-            run.processes.map_or(f64::NAN, |(cpu_s, _)| cpu_s * 1e6 / requests),
-            run.processes.map_or(f64::NAN, |(_, memory_mb)| memory_mb),
+            if run.processes.is_empty() { f64::NAN } else { cpu_s * 1e6 / requests },
+            run.processes.iter().map(|(_, memory_mb)| *memory_mb).fold(f64::NAN, f64::max),
             first.iter().sum::<f64>() / first.len() as f64,
             first.last().copied().unwrap_or(f64::NAN),
             quantile(&known, 0.5),
@@ -443,6 +446,7 @@
             traffic: self.traffic,
             minds: self.minds.iter().map(|(at, one)| (in_secs(*at), *one)).collect(),
             broken: self.broken,
+            processes: run.processes,
             events: run.events,
         }
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -401,6 +401,9 @@
     for (cause, share) in &outcome.lost {
         say!("{:<22}{share:>14.4}", format!("lost: {cause}"));
     }
+    for (node, (cpu_s, memory_mb)) in outcome.processes.iter().enumerate() {
+        say!("{:<22}{cpu_s:>12.2} s{memory_mb:>10.1} MB", format!("node n{node}"));
+    }
     for judge::Broken { rule, request, node, at_s, seed, what } in outcome.broken.iter().take(20) {
         say!("rule {rule:?} broken: request {request:016x}, node {node}, {at_s:.3} s, seed {seed}: {what}");
     }
--- a/crates/lab/src/rig/books.rs
+++ b/crates/lab/src/rig/books.rs
@@ -349,7 +349,7 @@
             faults: Vec::new(),
             server_work: Vec::new(),
             events: 0,
-            processes: None,
+            processes: Vec::new(),
         };
         judge.outcome(run).broken.into_iter().map(|broken| (broken.rule, broken.request)).collect()
     }
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -123,6 +123,8 @@
     server_zones: Vec<usize>,
     to_servers: Vec<Vec<Path>>,
     to_discovery: Vec<Path>,
+    /// Connections that nodes have opened to servers, by the relays between.
+    connections: Vec<Arc<AtomicU64>>,
     datagrams: Datagrams,
     longest: Duration,
 }
@@ -216,7 +218,7 @@
     let places = (0..rig.servers).map(|server| (server_zones[server], cell(server))).collect();
     let discovery = Arc::new(Discovery::new(books.clone(), rig.zones.clone(), places));
     let datagrams = Datagrams::start(rig.nodes, rig.seed).await?;
-    let (mut relays, mut answering) = (Vec::new(), Vec::new());
+    let (mut relays, mut answering, mut connections) = (Vec::new(), Vec::new(), Vec::new());
     let (mut hosts, mut doors, mut to_servers, mut to_discovery) =
         (Vec::new(), Vec::new(), Vec::new(), Vec::new());
     for (node, zone) in node_zones.iter().copied().enumerate() {
@@ -225,6 +227,7 @@
             let relay = Relay::start(target.clone(), Path::default()).await?;
             addresses.push(relay.address);
             paths.push(relay.path.clone());
+            connections.push(relay.taken.clone());
             relays.push(relay);
         }
         to_servers.push(paths);
@@ -289,6 +292,7 @@
         server_zones,
         to_servers,
         to_discovery,
+        connections,
         datagrams,
         longest,
     });
@@ -571,7 +575,7 @@
 
     /// The end of the day: every node is told to stop, and what came of it is added up.
     async fn end(&self, empty: Judge, names: Vec<String>) -> io::Result<Outcome> {
-        let (mut cpu, mut memory, mut crashes) = (0.0, 0.0_f64, 0);
+        let (mut processes, mut crashes) = (Vec::new(), 0);
         for host in &self.hosts {
             let mut host = host.lock().await;
             host.process.iter().for_each(Process::go_on);
@@ -581,10 +585,12 @@
             if !host.terminate(self.longest.min(Duration::from_secs(3))).await {
                 crashes += 1;
             }
-            (cpu, memory) = (cpu + host.used.0, memory.max(host.used.1));
+            processes.push(host.used);
             crashes += host.crashes;
         }
         let (mut judge, server_work) = self.books.close(empty);
+        judge.tally.connections = self.connections.iter().map(|taken| taken.load(Ordering::Relaxed)).sum();
+        judge.tally.peer_bytes = self.datagrams.bytes.load(Ordering::Relaxed);
         for (node, length) in self.datagrams.too_long.lock().expect("the notes").iter() {
             let what = format!("a datagram of {length} bytes");
             judge.broke(crate::judge::Rule::Form, 0, *node as u32, 0, what);
@@ -611,7 +617,7 @@
             faults: spans.collect(),
             server_work,
             events: 0,
-            processes: Some((cpu, memory)),
+            processes,
         }))
     }
 }
--- a/crates/lab/src/rig/relay.rs
+++ b/crates/lab/src/rig/relay.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -86,6 +87,8 @@
     pub address: SocketAddr,
     /// Its path.
     pub path: Path,
+    /// Connections that it has taken.
+    pub taken: Arc<AtomicU64>,
     _tasks: JoinSet<()>,
 }
 
@@ -95,17 +98,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept(listener, target, path.clone()));
-        Ok(Relay { address, path, _tasks: tasks })
+        let taken = Arc::new(AtomicU64::new(0));
+        tasks.spawn(accept(listener, target, path.clone(), taken.clone()));
+        Ok(Relay { address, path, taken, _tasks: tasks })
     }
 }
 
-async fn accept(listener: TcpListener, target: Target, path: Path) {
+async fn accept(listener: TcpListener, target: Target, path: Path, taken: Arc<AtomicU64>) {
     let places = Arc::new(Semaphore::new(CONNECTIONS));
     let mut connections = JoinSet::new();
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         let Ok((from, _)) = listener.accept().await else { continue };
+        taken.fetch_add(1, Ordering::Relaxed);
         while connections.try_join_next().is_some() {}
         let (target, path) = (target.clone(), path.clone());
         connections.spawn(async move {
@@ -191,6 +196,8 @@
     pub targets: Vec<Target>,
     /// Datagrams longer than this were sent by a node: its number and their length.
     pub too_long: Arc<Mutex<Vec<(usize, usize)>>>,
+    /// Bytes that nodes sent, once for each receiver.
+    pub bytes: Arc<AtomicU64>,
     _tasks: JoinSet<()>,
 }
 
@@ -215,6 +222,7 @@
             (0..nodes).map(|_| (0..nodes).map(|_| Path::default()).collect()).collect();
         let targets: Vec<Target> = (0..nodes).map(|_| Target::default()).collect();
         let too_long = Arc::new(Mutex::new(Vec::new()));
+        let bytes = Arc::new(AtomicU64::new(0));
         let (mut addresses, mut alls, mut tasks) = (Vec::new(), Vec::new(), JoinSet::new());
         let delayed = Arc::new(Semaphore::new(DELAYED));
         for (from, row) in sockets.iter().enumerate() {
@@ -228,7 +236,7 @@
                     delayed: delayed.clone(),
                     chance: chance.clone(),
                 };
-                tasks.spawn(hear(socket.clone(), vec![link], from, too_long.clone()));
+                tasks.spawn(hear(socket.clone(), vec![link], from, too_long.clone(), bytes.clone()));
             }
             addresses.push(here);
         }
@@ -241,9 +249,9 @@
                 delayed: delayed.clone(),
                 chance: chance.clone(),
             });
-            tasks.spawn(hear(Arc::new(socket), others.collect(), from, too_long.clone()));
+            tasks.spawn(hear(Arc::new(socket), others.collect(), from, too_long.clone(), bytes.clone()));
         }
-        Ok(Datagrams { addresses, to_all: alls, paths, targets, too_long, _tasks: tasks })
+        Ok(Datagrams { addresses, to_all: alls, paths, targets, too_long, bytes, _tasks: tasks })
     }
 }
 
@@ -283,6 +291,7 @@
     links: Vec<Link>,
     from: usize,
     too_long: Arc<Mutex<Vec<(usize, usize)>>>,
+    bytes: Arc<AtomicU64>,
 ) {
     let mut data = vec![0; 2048];
     loop {
@@ -294,6 +303,7 @@
             }
             continue;
         }
+        bytes.fetch_add((length * links.len()) as u64, Ordering::Relaxed);
         let data = Bytes::copy_from_slice(&data[..length]);
         for link in &links {
             link.pass(data.clone()).await;
--- a/crates/lab/tests/emulator.rs
+++ b/crates/lab/tests/emulator.rs
@@ -395,6 +395,30 @@
     assert!(all.lost["no-node"] > 0.3, "{:?}", all.lost);
 }
 
+/// A client that leaves while an attempt is out calls its work off: where running work stops, less of it is wasted.
+#[test]
+fn a_client_that_leaves_takes_its_work_with_it() {
+    let wasted = |stops: bool| {
+        let text = format!(
+            "servers = {{ cancel_stops = {stops} }}\nclients = {{ load = 0.9, retries = 0, patience = [0.2, 0.2] }}"
+        );
+        emu::run(&experiment(&text), SMALL, Kind::Random, 1).figures["waste"]
+    };
+    assert!(wasted(false) > 1.2 * wasted(true), "{} and {}", wasted(false), wasted(true));
+}
+
+/// Servers come back under their own ids and serve again; the day ends with every request closed once.
+#[test]
+fn restarted_servers_serve_again_and_the_day_settles_all() {
+    let text = "[servers]\nwarm_s = 1.0\ncold_share = 1.0\n[[faults]]\nkind = 'crash'\nat = 2.0\nlasts = 2.0\npart = 1.0";
+    let outcome = emu::run(&experiment(text), SMALL, Kind::LeastOfTwo, 1);
+    assert!(outcome.windows[3].served == 0.0 && outcome.windows[10].served > 0.5 * outcome.windows[10].asked);
+    let requests: u64 = outcome.windows.iter().map(|window| window.requests).sum();
+    assert_eq!(requests as f64, outcome.figures["requests"]);
+    let lost: f64 = outcome.lost.values().sum();
+    assert!((outcome.figures["served"] + lost - 1.0).abs() < 1e-9, "{:?}", outcome.lost);
+}
+
 /// A one-way cut lets requests run whose answers are lost: they may have run, and the rules hold.
 #[test]
 fn an_answer_that_is_cut_off_may_have_run() {
