Let membership's timers come before datagrams, and drop parameters that nothing reads

In the node's loop a datagram that was ready came before a timer that was due: a peer that never stops sending could have kept a node from probing, and so from finding anybody dead. Found by reading; the order is turned round.

--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -442,14 +442,14 @@
         if own >= self.seek_at {
             // A period of its own time has gone by, and it was there.
             self.health.well();
-            self.seek(now, out);
+            self.seek(out);
             self.seek_at = own + self.settings.period;
         }
     }
 
     /// Calls at some of the addresses where others may be: at each turn while it knows nobody, and now and then later, at
     /// those where it knows nobody.
-    fn seek(&mut self, now: Duration, out: &mut Vec<Output>) {
+    fn seek(&mut self, out: &mut Vec<Output>) {
         self.turns += 1;
         let alone = self.members.is_empty();
         if !alone && self.turns % 10 != 0 {
@@ -460,17 +460,17 @@
         let unknown: Vec<_> = self.seeds.iter().filter(|address| !known.contains(address)).copied().collect();
         let some: Vec<_> = unknown.choose_multiple(&mut self.random, TRIES).copied().collect();
         for to in some {
-            self.greet(HELLO, to, now, out);
+            self.greet(HELLO, to, out);
         }
     }
 
-    fn greet(&mut self, kind: u8, to: Address, now: Duration, out: &mut Vec<Output>) {
+    fn greet(&mut self, kind: u8, to: Address, out: &mut Vec<Output>) {
         if let Ok(body) = postcard::to_allocvec(&self.me) {
-            self.send(kind, to, &body, now, out);
+            self.send(kind, to, &body, out);
         }
     }
 
-    fn send(&mut self, kind: u8, to: Address, body: &[u8], _now: Duration, out: &mut Vec<Output>) {
+    fn send(&mut self, kind: u8, to: Address, body: &[u8], out: &mut Vec<Output>) {
         self.sequence += 1;
         let head = Head {
             cluster: self.cluster,
@@ -529,7 +529,7 @@
         match kind {
             HELLO | WELCOME => {
                 if kind == HELLO {
-                    self.greet(WELCOME, sender.address, now, out);
+                    self.greet(WELCOME, sender.address, out);
                 }
                 // Either way there is somebody to ask who else there is.
                 if !self.members.contains_key(&sender.name) {
@@ -642,13 +642,13 @@
             self.waiting.insert(self.timers_set, timer);
         }
         while let Some((to, body)) = effects.to_send() {
-            self.send(SWIM, to.address, &body, now, out);
+            self.send(SWIM, to.address, &body, out);
         }
     }
 
     fn note(&mut self, note: OwnedNotification<Identity>, now: Duration, out: &mut Vec<Output>) {
         match note {
-            OwnedNotification::MemberUp(member) => self.add(member, now, out),
+            OwnedNotification::MemberUp(member) => self.add(member, out),
             OwnedNotification::MemberDown(member) => {
                 let cause = if self.leavers.has(&member) { Cause::Left } else { Cause::Failed };
                 self.remove(&member, cause, now, out);
@@ -657,7 +657,7 @@
                 // Of two lives the later one is the member; whether that is alive is told by itself.
                 if self.members.get(&before.name) == Some(&before) {
                     self.forget(&before);
-                    self.add(after, now, out);
+                    self.add(after, out);
                 }
             }
             OwnedNotification::Active => {
@@ -674,7 +674,7 @@
         }
     }
 
-    fn add(&mut self, member: Identity, _now: Duration, out: &mut Vec<Output>) {
+    fn add(&mut self, member: Identity, out: &mut Vec<Output>) {
         let held = self.members.get(&member.name);
         if held == Some(&member) || held.is_none() && self.members.len() >= self.settings.most {
             return;
--- a/crates/lab/src/emu/nodes.rs
+++ b/crates/lab/src/emu/nodes.rs
@@ -183,12 +183,12 @@
         }
         let found = self.nodes[node as usize].strategy.as_mut().map(|strategy| strategy.found());
         for found in found.into_iter().flatten() {
-            self.finds(node, found);
+            self.finds(&found);
         }
     }
 
-    /// A node has found that another came or went. Whether that is so is for the emulator to know.
-    fn finds(&mut self, node: NodeNo, found: Found) {
+    /// Some node has found that another came or went. Whether that is so is for the emulator to know.
+    fn finds(&mut self, found: &Found) {
         let Some(it) = self.nodes.get(found.who as usize) else { return };
         let gone = matches!(found.cause, Cause::Failed | Cause::Left);
         if !gone {
@@ -202,7 +202,6 @@
             *first = first.min(took);
             self.judge.knows.push(took);
         }
-        let _ = node;
     }
 
     /// Whether all nodes that run take their view for agreed, and it is one.
--- a/src/bin/sillward/peers.rs
+++ b/src/bin/sillward/peers.rs
@@ -213,6 +213,14 @@
             tokio::select! {
                 biased;
                 _ = phase.wait_for(|phase| phase.state != State::Active) => return,
+                // Timers come before datagrams: a flood of these must not keep the node from probing.
+                () = sleep_until(wake) => {
+                    let mut out = Vec::new();
+                    if let Some((core, begun)) = &mut *self.view.0.borrow_mut() {
+                        core.tick(begun.elapsed(), &mut out);
+                    }
+                    self.carry_out(socket, out);
+                }
                 came = socket.recv_from(&mut data) => {
                     let mut out = Vec::new();
                     if let Ok((length, from)) = came {
@@ -224,13 +232,6 @@
                     }
                     self.carry_out(socket, out);
                 }
-                () = sleep_until(wake) => {
-                    let mut out = Vec::new();
-                    if let Some((core, begun)) = &mut *self.view.0.borrow_mut() {
-                        core.tick(begun.elapsed(), &mut out);
-                    }
-                    self.carry_out(socket, out);
-                }
             }
             if Instant::now() >= tell_at {
                 tell_at = Instant::now() + TELL_EVERY;
