Read others' lists in pages, call a suspect before it is dead, outlive a clock set back

1,000 nodes that started at once gave 48 false deaths in 45 s and a fifth lost 5 a node-hour at 300: gossip spent ten tellings of each newcomer by each member, so denials found no room, and a suspicion asked nobody but SWIM's own probes. A newcomer now reads a list in pages of names, 32 asked and 64 given a period at most, which are not passed on; a suspect is called three times before its suspicion ends and lives if it was heard; a probe answered only to others makes a node doubt itself, as does a view that still grows. A node whose clock was set back takes a start after its earlier one. Leavers are forgotten with dead lives.

--- a/crates/fleet/src/agreement.rs
+++ b/crates/fleet/src/agreement.rs
@@ -71,12 +71,9 @@
 
 /// A member's part of a digest. Digests are sums: they don't hang on an order.
 pub fn part(member: &Identity) -> u64 {
-    let bytes = [
-        String::from(member.name.clone()).as_bytes(),
-        &member.started_ms.to_be_bytes(),
-        &member.renewed.to_be_bytes(),
-    ]
-    .concat();
+    let bytes =
+        [member.name.as_str().as_bytes(), &member.started_ms.to_be_bytes(), &member.renewed.to_be_bytes()]
+            .concat();
     // Sums of FNV alone would let single bits cancel out.
     wire::hash(&bytes).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(31)
 }
@@ -94,7 +91,7 @@
 impl Views {
     /// A member has said the digest of its view.
     pub fn hear(&mut self, member: &Name, digest: u64, now: Duration) {
-        self.heard.insert(member.clone(), (digest, now));
+        self.heard.insert(*member, (digest, now));
     }
 
     /// A member is gone: what it said counts no more.
--- a/crates/fleet/src/identity.rs
+++ b/crates/fleet/src/identity.rs
@@ -4,34 +4,57 @@
 use std::fmt;
 use std::net::SocketAddrV4;
 
-/// A member's name: 1 to 24 visible ASCII characters. It is the same after a restart.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+/// The longest name, in bytes.
+const LONGEST: usize = 24;
+
+/// A member's name: 1 to 24 visible ASCII characters. It is the same after a restart. It is copied where SWIM looks
+/// through all members, and so has no room of its own elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
-pub struct Name(String);
+pub struct Name([u8; LONGEST]);
 
 /// Why a text is no name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("a member's name has 1 to 24 visible ASCII characters")]
 pub struct BadName;
 
+impl TryFrom<&str> for Name {
+    type Error = BadName;
+
+    fn try_from(text: &str) -> Result<Self, BadName> {
+        let fits = (1..=LONGEST).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic());
+        // What follows a name is 0, less than any of its characters: names are in the order of their texts.
+        let mut bytes = [0; LONGEST];
+        bytes.iter_mut().zip(text.bytes()).for_each(|(byte, of)| *byte = of);
+        if fits { Ok(Name(bytes)) } else { Err(BadName) }
+    }
+}
+
 impl TryFrom<String> for Name {
     type Error = BadName;
 
     fn try_from(text: String) -> Result<Self, BadName> {
-        let fits = (1..=24).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic());
-        if fits { Ok(Name(text)) } else { Err(BadName) }
+        Name::try_from(text.as_str())
+    }
+}
+
+impl Name {
+    /// Its text.
+    pub fn as_str(&self) -> &str {
+        let length = self.0.iter().position(|byte| *byte == 0).unwrap_or(LONGEST);
+        std::str::from_utf8(&self.0[..length]).unwrap_or_default() // ASCII, as checked
     }
 }
 
 impl From<Name> for String {
     fn from(name: Name) -> String {
-        name.0
+        name.as_str().to_string()
     }
 }
 
 impl fmt::Display for Name {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        out.write_str(&self.0)
+        out.write_str(self.as_str())
     }
 }
 
@@ -80,7 +103,7 @@
     }
 
     fn addr(&self) -> Name {
-        self.name.clone()
+        self.name
     }
 
     fn win_addr_conflict(&self, adversary: &Self) -> bool {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod health;
 mod identity;
 mod membership;
+mod pages;
 mod wire;
 
 pub use agreement::{Agreement, Certainty};
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -5,6 +5,7 @@
 use crate::agreement::{Agreement, Views, part};
 use crate::health::Health;
 use crate::identity::{Address, Identity, Name, Phase};
+use crate::pages::{Ask, FIT, Page, Pages};
 use crate::wire::{self, BODY, Head, Rejected, Window};
 use foca::{AccumulatingRuntime, BroadcastHandler, Codec, Foca, OwnedNotification, PeriodicParams, Timer};
 use rand::seq::IndexedRandom;
@@ -15,6 +16,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::num::{NonZeroU8, NonZeroUsize};
+use std::ops::Bound;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,20 +25,29 @@
 const SWIM: u8 = 0;
 const HELLO: u8 = 1;
 const WELCOME: u8 = 2;
+/// Its sender wants a page of the other's list of members, and here it is.
+const ASK: u8 = 3;
+const PAGE: u8 = 4;
 /// Addresses that a newcomer tries in a period, and a member in ten: those may be of a part that was cut off.
 const TRIES: usize = 3;
 /// A suspect is dead after so many periods for each factor of ten members (memberlist's rule, with half its multiple:
 /// the fleet's periods are short beside its deadlines for knowing).
 const SUSPICION: f64 = 2.0;
+/// A suspicion is so many parts long, and after each but the last the suspect itself is called: at a loss of a fifth each
+/// way, three calls reach it and back 19 times in 20.
+const CALLS: u32 = 4;
 /// Members asked to probe in one's stead (SWIM's k).
 const INDIRECT: NonZeroUsize = NonZeroUsize::new(3).unwrap();
 /// Times that each piece of news is passed on by each member (foca's advice for large clusters is 15).
 const PASSED_ON: NonZeroU8 = NonZeroU8::new(10).unwrap();
 /// How long a dead life is remembered, so that old news of it raises nobody.
 const REMEMBERED: Duration = Duration::from_secs(600);
+/// A start that lies so far in this node's future was not measured by a clock like its own is now: clocks of one fleet
+/// are kept within seconds of each other, and what is set back by less is as well waited for.
+const FUTURE: Duration = Duration::from_secs(60);
 /// Departures that are kept to be shown.
 const DEPARTED: usize = 256;
-/// Members that are asked at a time, where a view is found to differ: each tells eight of those that it knows.
+/// In a period, so many who are found to hold another view are asked for a page of theirs.
 const ASK_EVERY: u32 = 4;
 
 /// What a member is told.
@@ -52,6 +63,9 @@
     pub patience: Duration,
     /// No more members than this are kept.
     pub most: usize,
+    /// Whether the node doubts itself (Lifeguard's idea) and calls a suspect before it takes others for dead; without it,
+    /// for comparison alone, time-outs are what they are, and those of a stop come due at its end.
+    pub doubts_itself: bool,
 }
 
 impl Settings {
@@ -63,6 +77,7 @@
             period: Duration::from_secs(1),
             patience: Duration::from_millis(300),
             most: 2_000,
+            doubts_itself: true,
         }
     }
 }
@@ -134,6 +149,8 @@
     pub doubted: u64,
     /// Times that it came back after it was taken for dead.
     pub renewed: u64,
+    /// Suspects that were not taken for dead, since they were heard meanwhile.
+    pub spared: u64,
     /// Members that failed, and that left.
     pub failed: u64,
     /// Likewise.
@@ -147,9 +164,44 @@
     most: usize,
     /// A later life under this node's name.
     usurper: Option<Identity>,
+    /// When this node's own earlier life started, by a clock that has been set back since.
+    earlier: Option<u64>,
+    /// What its clock says now, in ms of Unix time.
+    now_ms: u64,
     doubted: u64,
 }
 
+impl Seen {
+    /// Whether this is this node itself, in a life before its clock was set back: nobody else is at its address, and no
+    /// start can lie so far in the future.
+    fn is_earlier_self(&mut self, id: &Identity) -> bool {
+        let future = self.now_ms.saturating_add(FUTURE.as_millis() as u64);
+        let it = id.name == self.me.name && id.address == self.me.address && id.started_ms > future;
+        if it {
+            self.earlier = self.earlier.max(Some(id.started_ms));
+        }
+        it
+    }
+
+    /// What is said of a member: whether that may be taken in.
+    fn take_in(&mut self, id: &Identity, state: foca::State) -> Result<(), Unfit> {
+        if *id == self.me {
+            self.doubted += u64::from(state == foca::State::Suspect);
+        } else if id.name == self.me.name {
+            if self.is_earlier_self(id) {
+                return Err(Unfit::Usurped);
+            }
+            if id.started_ms > self.me.started_ms && state != foca::State::Down {
+                self.usurper = Some(id.clone());
+                return Err(Unfit::Usurped);
+            }
+        } else if self.known >= self.most {
+            return Err(Unfit::Malformed);
+        }
+        Ok(())
+    }
+}
+
 /// SWIM's messages in postcard's form, with a look at what they say of this node.
 struct Watching(foca::PostcardCodec, Rc<RefCell<Seen>>);
 
@@ -174,7 +226,12 @@
     }
 
     fn decode_header(&mut self, buf: impl bytes::Buf) -> Result<foca::Header<Identity>, Unfit> {
-        self.0.decode_header(buf).map_err(|_| Unfit::Malformed)
+        let header: foca::Header<Identity> = self.0.decode_header(buf).map_err(|_| Unfit::Malformed)?;
+        // Who still probes an earlier life lets this one know of it.
+        if self.1.borrow_mut().is_earlier_self(&header.dst) {
+            return Err(Unfit::Usurped);
+        }
+        Ok(header)
     }
 
     fn encode_member(
@@ -187,19 +244,7 @@
 
     fn decode_member(&mut self, buf: impl bytes::Buf) -> Result<foca::Member<Identity>, Unfit> {
         let member: foca::Member<Identity> = self.0.decode_member(buf).map_err(|_| Unfit::Malformed)?;
-        let mut seen = self.1.borrow_mut();
-        let id = member.id();
-        if *id == seen.me {
-            seen.doubted += u64::from(member.state() == foca::State::Suspect);
-        } else if id.name == seen.me.name {
-            let later = id.started_ms > seen.me.started_ms && member.state() != foca::State::Down;
-            if later {
-                seen.usurper = Some(id.clone());
-                return Err(Unfit::Usurped);
-            }
-        } else if seen.known >= seen.most {
-            return Err(Unfit::Malformed);
-        }
+        self.1.borrow_mut().take_in(member.id(), member.state())?;
         Ok(member)
     }
 }
@@ -217,28 +262,48 @@
     }
 }
 
-/// Those who have said that they leave: the latest life of each name, and how often there was news.
+/// Those who have said that they leave: the latest life of each name and when that was heard, for as long as a dead life
+/// is remembered.
 #[derive(Clone, Default)]
-struct Leavers(Rc<RefCell<(BTreeMap<Name, u64>, u64)>>);
+struct Leavers(Rc<RefCell<Gone>>);
+
+#[derive(Default)]
+struct Gone {
+    by_name: BTreeMap<Name, (u64, Duration)>,
+    /// How often there was news.
+    news: u64,
+    /// What time it is: SWIM calls without one.
+    now: Duration,
+}
 
 impl Leavers {
     fn note(&self, left: &Left, most: usize) -> bool {
-        let (leavers, news) = &mut *self.0.borrow_mut();
-        let known = leavers.get(&left.name).is_some_and(|started| *started >= left.started_ms);
-        if known || leavers.len() >= most && !leavers.contains_key(&left.name) {
+        let gone = &mut *self.0.borrow_mut();
+        let known = gone.by_name.get(&left.name).is_some_and(|(started, _)| *started >= left.started_ms);
+        if known || gone.by_name.len() >= most && !gone.by_name.contains_key(&left.name) {
             return false;
         }
-        leavers.insert(left.name.clone(), left.started_ms);
-        *news += 1;
+        gone.by_name.insert(left.name, (left.started_ms, gone.now));
+        gone.news += 1;
         true
     }
 
     fn news(&self) -> u64 {
-        self.0.borrow().1
+        self.0.borrow().news
     }
 
     fn has(&self, member: &Identity) -> bool {
-        self.0.borrow().0.get(&member.name).is_some_and(|started| *started >= member.started_ms)
+        self.0.borrow().by_name.get(&member.name).is_some_and(|(started, _)| *started >= member.started_ms)
+    }
+
+    fn is_now(&self, now: Duration) {
+        self.0.borrow_mut().now = now;
+    }
+
+    fn prune(&self) {
+        let gone = &mut *self.0.borrow_mut();
+        let now = gone.now;
+        gone.by_name.retain(|_, (_, at)| now.saturating_sub(*at) < REMEMBERED);
     }
 }
 
@@ -255,6 +320,19 @@
     }
 }
 
+/// One of SWIM's timers that waits; a suspicion waits in parts.
+struct Waiting {
+    timer: Timer<Identity>,
+    suspicion: Option<Suspicion>,
+}
+
+/// A suspicion of this node's own: since when, how long each of its parts is, and how many are left.
+struct Suspicion {
+    since: Duration,
+    part: Duration,
+    left: u32,
+}
+
 type Swim = Foca<Identity, Watching, Pcg32, Broadcasts>;
 
 /// One member's knowledge of all. Times are since any fixed moment of the caller's monotonic clock.
@@ -264,6 +342,8 @@
     seen: Rc<RefCell<Seen>>,
     leavers: Leavers,
     me: Identity,
+    /// When it began, and what its wall clock said then, in ms of Unix time.
+    begun: (Duration, u64),
     cluster: u64,
     seeds: Vec<Address>,
     random: Pcg32,
@@ -280,13 +360,22 @@
     /// SWIM's timers, and the order in which they were set. They run on this node's own time: what it could not run is
     /// left out of it, or else the time-outs of a stop would all come due at its end.
     timers: BinaryHeap<Reverse<(Duration, u64)>>,
-    waiting: BTreeMap<u64, Timer<Identity>>,
+    waiting: BTreeMap<u64, Waiting>,
     timers_set: u64,
+    /// Suspicions that this node has raised itself.
+    suspicions: u64,
     lost: Duration,
     /// On the same time: when to look for others, and when a differing view may be asked after again.
     seek_at: Duration,
     ask_at: Duration,
     turns: u64,
+    pages: Pages,
+    /// The probe in flight: whether its direct answer failed to come in time, and whether its target was then taken
+    /// for suspect.
+    unanswered: bool,
+    doubted_now: bool,
+    /// Members known when the last period began: a view that still grows by more than a tenth is no ground for deaths.
+    known_before: usize,
     departed: Vec<(Identity, Cause, Duration)>,
     leavers_seen: u64,
     counters: Counters,
@@ -302,6 +391,8 @@
             known: 0,
             most: settings.most,
             usurper: None,
+            earlier: None,
+            now_ms: me.started_ms,
             doubted: 0,
         }));
         let swim = Foca::with_custom_broadcast(
@@ -323,6 +414,7 @@
             swim,
             seen,
             leavers,
+            begun: (now, me.started_ms),
             me,
             seeds,
             random,
@@ -336,10 +428,15 @@
             timers: BinaryHeap::new(),
             waiting: BTreeMap::new(),
             timers_set: 0,
+            suspicions: 0,
             lost: Duration::ZERO,
             seek_at,
             ask_at: Duration::ZERO,
             turns: 0,
+            pages: Pages::default(),
+            unanswered: false,
+            doubted_now: false,
+            known_before: 0,
             departed: Vec::new(),
             leavers_seen: 0,
             counters: Counters::default(),
@@ -394,7 +491,7 @@
 
     /// This node's place among the live members, by name, from 0.
     pub fn rank(&self) -> usize {
-        self.members.range(..self.me.name.clone()).count()
+        self.members.range(..self.me.name).count()
     }
 
     /// How far others agree with this node's view.
@@ -414,7 +511,11 @@
 
     /// This node's own time: what it was late is left out. Being late is also what it doubts itself for.
     fn own_time(&mut self, now: Duration) -> Duration {
+        self.leavers.is_now(now);
         let own = now.saturating_sub(self.lost);
+        if !self.settings.doubts_itself {
+            return own;
+        }
         let due = self.timers.peek().map_or(self.seek_at, |Reverse((at, _))| *at).min(self.seek_at);
         let late = own.saturating_sub(due);
         if late > self.settings.patience / 2 {
@@ -433,20 +534,75 @@
         let own = self.own_time(now);
         while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= own) {
             let Some(Reverse((_, number))) = self.timers.pop() else { break };
-            let Some(timer) = self.waiting.remove(&number) else { continue };
+            let Some(waiting) = self.waiting.remove(&number) else { continue };
+            let Some(timer) = self.ripe(waiting, own, out) else { continue };
             let mut effects = AccumulatingRuntime::new();
+            let (indirect, next) = (
+                matches!(timer, Timer::SendIndirectProbe { .. }),
+                matches!(timer, Timer::ProbeRandomMember(_)),
+            );
+            let suspects = self.suspicions;
             // An error here is a message that could not be made: there is none to send then.
             let _ = self.swim.handle_timer(timer, &mut effects);
-            self.take(effects, now, out);
+            let sent = self.take(effects, now, out);
+            if indirect {
+                self.unanswered = sent > 0;
+            }
+            if next && std::mem::take(&mut self.unanswered) && self.suspicions == suspects {
+                // The answer came to others, who asked in this node's stead: it is this node that is hard to reach.
+                self.health.doubted();
+                self.doubted_now = true;
+            }
         }
         if own >= self.seek_at {
-            // A period of its own time has gone by, and it was there.
-            self.health.well();
+            self.period_over();
             self.seek(out);
             self.seek_at = own + self.settings.period;
         }
     }
 
+    /// A timer that has come due, if it is to be carried out now. A suspect that has been heard since is not dead, whatever
+    /// became of the probes; one that has not is called, until the last part of the suspicion is over.
+    fn ripe(&mut self, waiting: Waiting, own: Duration, out: &mut Vec<Output>) -> Option<Timer<Identity>> {
+        let Waiting { timer, suspicion } = waiting;
+        let (Timer::ChangeSuspectToDown { member_id, .. }, Some(mut it)) = (&timer, suspicion) else {
+            return Some(timer);
+        };
+        let window = self.windows.get(&member_id.name);
+        if window.is_some_and(|(life, _, at)| *life == member_id.started_ms && *at > it.since) {
+            self.counters.spared += 1;
+            return None;
+        }
+        it.left -= 1;
+        if it.left == 0 {
+            return Some(timer);
+        }
+        self.greet(HELLO, member_id.address, out);
+        let at = own + it.part;
+        self.set(at, Waiting { timer, suspicion: Some(it) });
+        None
+    }
+
+    fn set(&mut self, at: Duration, waiting: Waiting) {
+        self.timers_set += 1;
+        self.timers.push(Reverse((at, self.timers_set)));
+        self.waiting.insert(self.timers_set, waiting);
+    }
+
+    /// A period of its own time has gone by, and it was there.
+    fn period_over(&mut self) {
+        let known = self.members.len();
+        let grows = known > self.known_before + self.known_before / 10;
+        self.known_before = known;
+        if grows {
+            self.health.learning();
+        } else if !std::mem::take(&mut self.doubted_now) {
+            self.health.well();
+        }
+        self.pages.renew();
+        self.leavers.prune();
+    }
+
     /// Calls at some of the addresses where others may be: at each turn while it knows nobody, and now and then later, at
     /// those where it knows nobody.
     fn seek(&mut self, out: &mut Vec<Output>) {
@@ -502,6 +658,8 @@
     fn try_hear(&mut self, now: Duration, data: &[u8], out: &mut Vec<Output>) -> Result<(), Rejected> {
         let (head, body) = Head::read(data, self.cluster)?;
         let sender = wire::sender(body)?;
+        let ran = now.saturating_sub(self.begun.0).as_millis() as u64;
+        self.seen.borrow_mut().now_ms = self.begun.1.saturating_add(ran);
         if sender.name == self.me.name {
             if sender.started_ms > self.me.started_ms {
                 self.displace(sender, out);
@@ -516,7 +674,7 @@
             }
         }
         let (life, window, at) =
-            self.windows.entry(sender.name.clone()).or_insert((sender.started_ms, Window::default(), now));
+            self.windows.entry(sender.name).or_insert((sender.started_ms, Window::default(), now));
         if sender.started_ms > *life {
             (*life, *window) = (sender.started_ms, Window::default());
         }
@@ -532,12 +690,42 @@
                     self.greet(WELCOME, sender.address, out);
                 }
                 // Either way there is somebody to ask who else there is.
+                if !self.members.contains_key(&sender.name) {
+                    let _ = self.swim.announce(sender.clone(), &mut effects);
+                    self.ask(sender.address, out);
+                }
+            }
+            ASK => {
+                let ((_, ask), _) =
+                    postcard::take_from_bytes::<(Identity, Ask)>(body).map_err(wire::unread)?;
+                if self.pages.may_give() {
+                    self.give(&ask, sender.address, out);
+                }
                 if !self.members.contains_key(&sender.name) {
                     let _ = self.swim.announce(sender.clone(), &mut effects);
                 }
             }
+            PAGE => {
+                let rest = postcard::take_from_bytes::<Identity>(body).map_err(wire::unread)?.1;
+                let page = Page::read(rest)?;
+                self.pages.came(&page);
+                let before = self.digest;
+                let read = self.read_page(page, &mut effects, out);
+                self.take(std::mem::take(&mut effects), now, out);
+                read?;
+                // What taught something is worth going on with.
+                if self.digest != before && self.digest != head.digest {
+                    self.ask(sender.address, out);
+                }
+            }
             SWIM => {
                 let heard = self.swim.handle_data(body, &mut effects);
+                let earlier = self.seen.borrow_mut().earlier.take();
+                if let Some(started_ms) = earlier {
+                    self.start_after(started_ms, &mut effects);
+                    self.take(effects, now, out);
+                    return Err(Rejected::SameName);
+                }
                 let usurper = self.seen.borrow_mut().usurper.take();
                 if let Some(usurper) = usurper {
                     self.displace(usurper, out);
@@ -552,8 +740,7 @@
         }
         self.take(effects, now, out);
         if head.phase == Phase::Leaving {
-            self.leavers
-                .note(&Left { name: sender.name.clone(), started_ms: sender.started_ms }, self.settings.most);
+            self.leavers.note(&Left { name: sender.name, started_ms: sender.started_ms }, self.settings.most);
         }
         if self.members.contains_key(&sender.name) {
             self.views.hear(&sender.name, head.digest, now);
@@ -592,9 +779,64 @@
             return;
         }
         self.ask_at = own + self.health.stretch(self.settings.period / ASK_EVERY);
-        let mut effects = AccumulatingRuntime::new();
-        let _ = self.swim.announce(sender.clone(), &mut effects);
-        self.take(effects, now, out);
+        self.ask(sender.address, out);
+    }
+
+    /// Asks for the next page of another's list.
+    fn ask(&mut self, to: Address, out: &mut Vec<Output>) {
+        let Some(ask) = self.pages.ask() else { return };
+        if let Ok(body) = postcard::to_allocvec(&(&self.me, &ask)) {
+            self.send(ASK, to, &body, out);
+        }
+    }
+
+    /// The page that comes after a name. A suspect is told as a living one: who doubts it says so by SWIM.
+    fn give(&mut self, ask: &Ask, to: Address, out: &mut Vec<Output>) {
+        let from = ask.after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut some: BTreeMap<_, _> = self
+            .members
+            .range((from, Bound::Unbounded))
+            .take(FIT)
+            .map(|(_, identity)| (identity, 0))
+            .collect();
+        for member in self.swim.iter_membership_state() {
+            if let Some(incarnation) = some.get_mut(member.id()) {
+                *incarnation = member.incarnation();
+            }
+        }
+        let body = Page::write(&self.me, some.into_iter());
+        self.send(PAGE, to, &body, out);
+    }
+
+    /// Others know what is on a page: it is taken in, and not passed on.
+    fn read_page(
+        &mut self,
+        page: Page,
+        effects: &mut AccumulatingRuntime<Identity>,
+        out: &mut Vec<Output>,
+    ) -> Result<(), Rejected> {
+        for (identity, incarnation) in page.members {
+            let taken = self.seen.borrow_mut().take_in(&identity, foca::State::Alive);
+            match taken {
+                Err(Unfit::Usurped) => {
+                    self.seen.borrow_mut().usurper = None;
+                    let earlier = self.seen.borrow_mut().earlier.take();
+                    match earlier {
+                        Some(started_ms) => self.start_after(started_ms, effects),
+                        None => self.displace(identity, out),
+                    }
+                    return Err(Rejected::SameName);
+                }
+                Err(Unfit::Malformed) => return Err(Rejected::Garbage),
+                Ok(()) => {}
+            }
+            // What it says of this node's own name is older, or this node itself; and most is known already.
+            if identity.name != self.me.name && self.members.get(&identity.name) != Some(&identity) {
+                let member = foca::Member::new(identity, incarnation, foca::State::Alive);
+                let _ = self.swim.apply_many([member].into_iter(), false, &mut *effects);
+            }
+        }
+        Ok(())
     }
 
     /// This node leaves: it says so to a few at once, and they to all.
@@ -603,7 +845,7 @@
             return;
         }
         self.phase = Phase::Leaving;
-        let left = Left { name: self.me.name.clone(), started_ms: self.me.started_ms };
+        let left = Left { name: self.me.name, started_ms: self.me.started_ms };
         if let Ok(data) = postcard::to_allocvec(&left) {
             let _ = self.swim.add_broadcast(&data);
         }
@@ -616,6 +858,17 @@
         self.take(effects, now, out);
     }
 
+    /// Its clock was set back since an earlier life: this one's start is put after that one's, or nobody would hear it.
+    fn start_after(&mut self, started_ms: u64, effects: &mut AccumulatingRuntime<Identity>) {
+        let me = Identity { started_ms: started_ms.saturating_add(1), renewed: 0, ..self.me.clone() };
+        self.digest = self.digest.wrapping_sub(part(&self.me)).wrapping_add(part(&me));
+        self.seen.borrow_mut().me = me.clone();
+        self.me = me.clone();
+        self.counters.renewed += 1;
+        // Refused only if it is the same, which it is not.
+        let _ = self.swim.change_identity(me, effects);
+    }
+
     fn displace(&mut self, by: Identity, out: &mut Vec<Output>) {
         out.push(Output::Displaced(by.clone()));
         self.displaced = Some(by);
@@ -623,27 +876,45 @@
         self.waiting.clear();
     }
 
-    /// What SWIM wants done, and what it has found out.
-    fn take(&mut self, mut effects: AccumulatingRuntime<Identity>, now: Duration, out: &mut Vec<Output>) {
+    /// What SWIM wants done, and what it has found out. Returns how many messages that were.
+    fn take(
+        &mut self,
+        mut effects: AccumulatingRuntime<Identity>,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) -> usize {
         while let Some(note) = effects.to_notify() {
             self.note(note, now, out);
         }
         let own = now.saturating_sub(self.lost);
         while let Some((after, timer)) = effects.to_schedule() {
-            let doubts = matches!(
-                timer,
+            let doubts = self.settings.doubts_itself;
+            let stretched = match timer {
                 Timer::ProbeRandomMember(_)
-                    | Timer::SendIndirectProbe { .. }
-                    | Timer::ChangeSuspectToDown { .. }
-            );
-            let after = if doubts { self.health.stretch(after) } else { after };
-            self.timers_set += 1;
-            self.timers.push(Reverse((own + after, self.timers_set)));
-            self.waiting.insert(self.timers_set, timer);
-        }
+                | Timer::SendIndirectProbe { .. }
+                | Timer::ChangeSuspectToDown { .. }
+                    if doubts =>
+                {
+                    self.health.stretch(after)
+                }
+                _ => after,
+            };
+            let suspects = matches!(timer, Timer::ChangeSuspectToDown { .. });
+            self.suspicions += u64::from(suspects);
+            let (after, suspicion) = if suspects && doubts {
+                let part = stretched / CALLS;
+                (part, Some(Suspicion { since: now, part, left: CALLS }))
+            } else {
+                (stretched, None)
+            };
+            self.set(own + after, Waiting { timer, suspicion });
+        }
+        let mut sent = 0;
         while let Some((to, body)) = effects.to_send() {
             self.send(SWIM, to.address, &body, out);
+            sent += 1;
         }
+        sent
     }
 
     fn note(&mut self, note: OwnedNotification<Identity>, now: Duration, out: &mut Vec<Output>) {
@@ -686,7 +957,7 @@
             self.forget(&before);
         }
         self.digest = self.digest.wrapping_add(part(&member));
-        self.members.insert(member.name.clone(), member.clone());
+        self.members.insert(member.name, member.clone());
         self.resized();
         out.push(Output::Changed(Change { member, cause }));
     }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -114,10 +114,15 @@
 
 /// The sender of a body: SWIM's messages begin with it.
 pub fn sender(body: &[u8]) -> Result<Identity, Rejected> {
-    postcard::take_from_bytes(body).map(|(sender, _)| sender).map_err(|error| match error {
+    postcard::take_from_bytes(body).map(|(sender, _)| sender).map_err(unread)
+}
+
+/// Why a body could not be read.
+pub fn unread(error: postcard::Error) -> Rejected {
+    match error {
         postcard::Error::DeserializeUnexpectedEnd => Rejected::Truncated,
         _ => Rejected::Garbage,
-    })
+    }
 }
 
 /// Which of a sender's datagrams have come: the latest, and the 64 before it.
--- a/crates/fleet/tests/hard_cases.rs
+++ b/crates/fleet/tests/hard_cases.rs
@@ -138,6 +138,60 @@
     assert_eq!(started.identity.started_ms, net.nodes[1].identity.started_ms);
 }
 
+/// Its wall clock went back by an hour, and nothing tells it when it ran before but those who still probe that life.
+#[test]
+fn a_clock_set_back_by_an_hour_keeps_nobody_out() {
+    for waits in [0.5, 20.0] {
+        let mut net = Net::new(6, 22);
+        net.nodes[1].identity.started_ms += 7_200_000;
+        (0..6).for_each(|node| net.start(node));
+        net.converges(BOUND);
+        net.kill(1);
+        net.run(waits);
+        net.nodes[1].identity.started_ms -= 3_600_000;
+        let seats = net.seats();
+        net.start_as_it_is(1, seats);
+        net.converges(BOUND);
+        assert!(!net.nodes[1].displaced);
+        let core = net.nodes[1].core.as_ref().unwrap();
+        assert!(
+            core.me().started_ms > net.nodes[1].identity.started_ms + 3_599_000,
+            "after its earlier life"
+        );
+    }
+}
+
+/// At two fifths lost each way nearly half of all probes fail, by way of others too: a suspect is called before it is dead.
+#[test]
+fn a_suspect_that_answers_a_call_is_not_taken_for_dead() {
+    let deaths = |doubts_itself: bool| {
+        let mut net = Net::new(30, 23);
+        net.settings.doubts_itself = doubts_itself;
+        (0..30).for_each(|node| net.start(node));
+        net.converges(60.0);
+        let since = net.now;
+        net.loss = 0.4;
+        net.run(120.0);
+        let spared: u64 =
+            net.live().iter().map(|node| net.nodes[*node].core.as_ref().unwrap().counters().spared).sum();
+        (net.changes(since, Cause::Failed).values().sum::<usize>(), spared)
+    };
+    let (with, spared) = deaths(true);
+    let (without, _) = deaths(false);
+    assert!(spared > 0 && without >= 10 && with * 5 <= without, "{with} deaths, {without} without");
+}
+
+/// A newcomer reads the list in pages, in a few periods; by gossip alone it takes several times as long.
+#[test]
+fn a_newcomer_reads_the_whole_list_at_once() {
+    let mut net = Net::settled(200, 24);
+    net.kill(7);
+    net.run(20.0);
+    net.start(7);
+    net.run(3.0);
+    assert_eq!(net.agreement(7).members, 200);
+}
+
 #[test]
 fn the_same_name_at_a_new_address_and_the_same_address_with_a_new_name() {
     let mut net = Net::settled(8, 10);
@@ -229,9 +283,8 @@
     assert_eq!(net.changes(since, Cause::Left).get(&name(5)), Some(&10));
     for node in net.live() {
         let core = net.nodes[node].core.as_ref().unwrap();
-        let mut gone: Vec<_> =
-            core.departed(net.now).map(|(who, cause, _)| (who.name.clone(), cause)).collect();
-        gone.sort_by(|a, b| a.0.cmp(&b.0));
+        let mut gone: Vec<_> = core.departed(net.now).map(|(who, cause, _)| (who.name, cause)).collect();
+        gone.sort_by_key(|a| a.0);
         assert_eq!(gone, [(name(5), Cause::Left), (name(6), Cause::Failed)], "{node}");
         assert_eq!((core.counters().left, core.counters().failed), (1, 1));
     }
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -112,15 +112,25 @@
 
     /// A node starts; its seeds are all other seats.
     pub fn start(&mut self, node: usize) {
-        let seeds = (0..self.nodes.len()).map(|seat| Address::Seat(seat as u16)).collect();
-        self.start_with(node, seeds);
+        self.start_with(node, self.seats());
+    }
+
+    /// The addresses that all know.
+    pub fn seats(&self) -> Vec<Address> {
+        (0..self.nodes.len()).map(|seat| Address::Seat(seat as u16)).collect()
     }
 
     pub fn start_with(&mut self, node: usize, seeds: Vec<Address>) {
+        let it = &mut self.nodes[node];
+        it.identity.started_ms = it.identity.started_ms.max(self.now.as_millis() as u64 + it.life + 1);
+        self.start_as_it_is(node, seeds);
+    }
+
+    /// A node starts, whenever its clock may say that this is.
+    pub fn start_as_it_is(&mut self, node: usize, seeds: Vec<Address>) {
         let seed = self.random.random();
         let it = &mut self.nodes[node];
         it.life += 1;
-        it.identity.started_ms = it.identity.started_ms.max(self.now.as_millis() as u64 + it.life);
         it.core = Some(Membership::new(it.identity.clone(), self.settings.clone(), seeds, seed, self.now));
         (it.wake, it.displaced) = (None, false);
         it.latest.clear();
@@ -184,7 +194,7 @@
         for (_, change) in it.changes[it.born..].iter().rev().take(3) {
             if matches!(change.cause, Cause::Joined | Cause::Returned) {
                 let life = (change.member.started_ms, change.member.renewed);
-                let latest = it.latest.entry(change.member.name.clone()).or_insert(life);
+                let latest = it.latest.entry(change.member.name).or_insert(life);
                 let held =
                     core.members(now).into_iter().find(|member| member.identity.name == change.member.name);
                 if let Some(held) = held {
@@ -298,7 +308,7 @@
         for node in self.live() {
             let changes =
                 self.nodes[node].changes.iter().filter(|(at, change)| *at >= since && change.cause == cause);
-            changes.for_each(|(_, change)| *found.entry(change.member.name.clone()).or_default() += 1);
+            changes.for_each(|(_, change)| *found.entry(change.member.name).or_default() += 1);
         }
         found
     }
