--- a/crates/lab/src/emu/faults.rs
+++ b/crates/lab/src/emu/faults.rs
@@ -120,9 +120,15 @@
             Fault::Roll { batch, lasts, .. } => self.set_batches(fault, *batch, *lasts),
             Fault::Release { batch, lasts, .. } => self.set_batches(fault, *batch, *lasts),
             Fault::Starved { cpu, .. } => {
-                servers().for_each(|node| self.nodes[node as usize].starved.push((fault, *cpu)));
+                servers().for_each(|node| {
+                    self.nodes[node as usize].starved.push((fault, *cpu));
+                    self.nodes[node as usize].troubled = true;
+                });
             }
-            Fault::Stopped { .. } => servers().for_each(|node| self.nodes[node as usize].stopped += 1),
+            Fault::Stopped { .. } => servers().for_each(|node| {
+                self.nodes[node as usize].stopped += 1;
+                self.nodes[node as usize].troubled = true;
+            }),
             Fault::ClockStep { by_s, .. } => {
                 servers().for_each(|node| self.nodes[node as usize].step_s += by_s);
             }
--- a/crates/lab/src/emu/mod.rs
+++ b/crates/lab/src/emu/mod.rs
@@ -294,6 +294,7 @@
         wake_set: false,
         stopped: 0,
         starved: Vec::new(),
+        troubled: false,
         killed: 0,
         died: None,
         idle: BTreeMap::new(),
--- a/crates/lab/src/emu/nodes.rs
+++ b/crates/lab/src/emu/nodes.rs
@@ -196,6 +196,7 @@
         }
         if it.strategy.is_some() {
             self.judge.tally.false_deaths += 1;
+            self.judge.tally.false_deaths_sound += u64::from(!it.troubled);
         } else if let Some(died) = it.died {
             let took = crate::time::in_secs(self.now - died);
             let first = self.first_found.entry((found.who, it.life)).or_insert_with(|| took);
--- a/crates/lab/src/emu/world.rs
+++ b/crates/lab/src/emu/world.rs
@@ -213,6 +213,8 @@
     pub stopped: u32,
     /// Faults that starve it, by number, with the part of the processor that is left.
     pub starved: Vec<(usize, f64)>,
+    /// It has been stopped or starved.
+    pub troubled: bool,
     /// Faults that hold it dead.
     pub killed: u32,
     /// When it died last.
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -14,7 +14,7 @@
 pub const GOAL: Goal = Goal { whole: 0.55, worst_window: 0.15, worst_class: 0.3, worst_tenant: 0.0 };
 
 /// The figures of a run that expectations may name.
-pub const FIGURES: [&str; 33] = [
+pub const FIGURES: [&str; 35] = [
     "served",
     "worst_1s",
     "worst_10s",
@@ -48,6 +48,8 @@
     "known_p99_s",
     "known_max_s",
     "false_deaths",
+    "false_deaths_sound",
+    "one_view_s",
 ];
 
 /// One of the four rules, in the order of the wire's page.
@@ -147,6 +149,8 @@
     pub fallen: u64,
     /// Times that a node took one for dead that ran.
     pub false_deaths: u64,
+    /// Those of them of a node that had never been stopped or starved.
+    pub false_deaths_sound: u64,
 }
 
 /// What clients asked for and were served within the aim in one second, by the second of the first try.
@@ -359,6 +363,7 @@
         };
         let classes = by_name(run.classes, &self.by_class);
         let zones = by_name(run.zones, &self.by_zone);
+        let one_view_s = self.one_view_s(&run.faults);
         let faults: Vec<_> = run
             .faults
             .into_iter()
@@ -421,6 +426,8 @@
             quantile(&known, 0.99),
             quantile(&known, 1.0),
             tally.false_deaths as f64,
+            tally.false_deaths_sound as f64,
+            one_view_s,
         ];
         // What no run can tell, for want of requests or of processes, is left out.
         let told = FIGURES.iter().zip(values).filter(|(_, value)| value.is_finite());
@@ -450,6 +457,16 @@
             events: run.events,
         }
     }
+
+    /// So long after the end of the last fault all members held one view and took it for agreed, to the end; no number if
+    /// they did not, or there was no fault.
+    fn one_view_s(&self, faults: &[(String, Nanos, Nanos)]) -> f64 {
+        let end = faults.iter().map(|(_, _, end)| *end).max();
+        match (self.minds.last(), end) {
+            (Some((at, true)), Some(end)) => in_secs(at.saturating_sub(end)),
+            _ => f64::NAN,
+        }
+    }
 }
 
 fn sorted(values: &[f64]) -> Vec<f64> {
--- a/crates/lab/src/strategy/members.rs
+++ b/crates/lab/src/strategy/members.rs
@@ -25,6 +25,7 @@
     balancer: Balancer,
     settings: Settings,
     seed: u64,
+    doubts_itself: bool,
     members: Option<Membership>,
     wake: Option<Duration>,
     tell_at: Duration,
@@ -33,12 +34,13 @@
 }
 
 impl WithMembers {
-    /// A node that has just started.
-    pub fn new(settings: Settings, seed: u64) -> Self {
+    /// A node that has just started, which doubts itself or does not.
+    pub fn new(settings: Settings, seed: u64, doubts_itself: bool) -> Self {
         WithMembers {
             balancer: Balancer::new(settings.clone(), seed),
             settings,
             seed,
+            doubts_itself,
             members: None,
             wake: None,
             tell_at: Duration::ZERO,
@@ -59,7 +61,11 @@
             program: 1,
         };
         let seeds = (0..self.settings.nodes).map(|seat| Address::Seat(seat as u16)).collect();
-        Membership::new(me, Members::usual("lab", self.settings.nodes as usize), seeds, self.seed, now)
+        let members = Members {
+            doubts_itself: self.doubts_itself,
+            ..Members::usual("lab", self.settings.nodes as usize)
+        };
+        Membership::new(me, members, seeds, self.seed, now)
     }
 
     fn carry_out(&mut self, out: Vec<Output>, actions: &mut Vec<Action>) {
--- a/crates/lab/src/strategy/mod.rs
+++ b/crates/lab/src/strategy/mod.rs
@@ -44,6 +44,8 @@
     Module,
     /// The same, with membership beside it.
     Members,
+    /// With a membership that never doubts itself, to hold local health against.
+    MembersUndoubting,
     /// A random server.
     Random,
     /// One server after another.
@@ -60,6 +62,7 @@
         match name {
             "module" => Some(Kind::Module),
             "module+members" => Some(Kind::Members),
+            "module+members-undoubting" => Some(Kind::MembersUndoubting),
             "random" => Some(Kind::Random),
             "round-robin" => Some(Kind::RoundRobin),
             "least-of-two" => Some(Kind::LeastOfTwo),
@@ -71,7 +74,8 @@
     pub fn start(self, settings: Settings, seed: u64) -> Box<dyn Strategy> {
         match self {
             Kind::Module => Box::new(Balancer::new(settings, seed)),
-            Kind::Members => Box::new(members::WithMembers::new(settings, seed)),
+            Kind::Members => Box::new(members::WithMembers::new(settings, seed, true)),
+            Kind::MembersUndoubting => Box::new(members::WithMembers::new(settings, seed, false)),
             Kind::Random => Box::new(plain::Plain::new(settings, seed, plain::Random)),
             Kind::RoundRobin => Box::new(plain::Plain::new(settings, seed, plain::RoundRobin::default())),
             Kind::LeastOfTwo => Box::new(plain::Plain::new(settings, seed, plain::LeastOfTwo::default())),
@@ -85,6 +89,7 @@
         match self {
             Kind::Module => out.write_str("module"),
             Kind::Members => out.write_str("module+members"),
+            Kind::MembersUndoubting => out.write_str("module+members-undoubting"),
             Kind::Random => out.write_str("random"),
             Kind::RoundRobin => out.write_str("round-robin"),
             Kind::LeastOfTwo => out.write_str("least-of-two"),
@@ -105,8 +110,8 @@
     fn try_from(name: String) -> Result<Self, String> {
         Kind::named(&name).ok_or_else(|| {
             format!(
-                "{name:?} is no strategy: expected module, module+members, random, round-robin, least-of-two or jut-M with an M from \
-                 1 to 1000"
+                "{name:?} is no strategy: expected module, module+members, module+members-undoubting, random, round-robin, \
+                 least-of-two or jut-M with an M from 1 to 1000"
             )
         })
     }
