Save members to disk, know nodes by addresses that all see alike, take fleet from the environment

A node off the platform had no way to be found but a full list of seats, and one that started after all were killed had only its configuration. fleet.advertise gives it an address, fleet.saved a file with a checksum, replaced whole, from which a start takes whom to call and a start later than its last one; SILLWARD_FLEET holds the object where another writes the configuration. Off as before.

--- a/src/bin/sillward/config.rs
+++ b/src/bin/sillward/config.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use serde_json::value::RawValue;
 use std::cell::RefCell;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,6 +49,10 @@
     cluster: String,
     #[serde(default = "probe_ms")]
     probe_ms: u64,
+    #[serde(default)]
+    advertise: Option<SocketAddrV4>,
+    #[serde(default)]
+    saved: Option<PathBuf>,
 }
 
 fn probe_ms() -> u64 {
@@ -64,8 +68,13 @@
     pub period: Duration,
     /// Where it hears the others.
     pub listen: SocketAddr,
-    /// The node of each number in the tier, this one's own included.
+    /// The node of each number in the tier, this one's own included; or, where nodes are known by addresses that all see
+    /// alike, some of them, to begin with.
     pub peers: Vec<SocketAddr>,
+    /// The address by which all others reach this node, where there is one; port 0 stands for the one it hears on.
+    pub advertise: Option<SocketAddrV4>,
+    /// Where it keeps its members, so that a start finds them again.
+    pub saved: Option<PathBuf>,
 }
 
 #[derive(Deserialize)]
@@ -169,8 +178,12 @@
         if site.settings.limits.max_attempts == 0 {
             return Err("attempts are not over 0".into());
         }
-        let fleet =
-            file.fleet.map(|fleet| self::fleet(fleet, &file.name, file.peer_listen, file.peers, &site));
+        let wanted = match file.fleet {
+            Some(fleet) => Some(fleet),
+            None if site.peers && file.peer_listen.is_some() => file_from_env()?,
+            None => None,
+        };
+        let fleet = wanted.map(|fleet| self::fleet(fleet, &file.name, file.peer_listen, file.peers, &site));
         let fleet = fleet.transpose()?;
         let mut shape: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
         shape.as_object_mut().and_then(|file| file.remove("known"));
@@ -202,6 +215,14 @@
     }
 }
 
+/// The `fleet` object of `SILLWARD_FLEET`, for nodes whose configuration is written by somebody who knows nothing of it: it
+/// holds where the file has none and allows messages between nodes.
+fn file_from_env() -> Result<Option<FleetFile>, String> {
+    let Some(text) = std::env::var_os("SILLWARD_FLEET") else { return Ok(None) };
+    let parsed = serde_json::from_str(&text.to_string_lossy());
+    parsed.map(Some).map_err(|e| format!("SILLWARD_FLEET: {e}; expected an object as in the configuration"))
+}
+
 /// Membership, if all that it needs is there and the settings allow it.
 fn fleet(
     file: FleetFile,
@@ -220,14 +241,30 @@
         return Err(format!("fleet.probe_ms = {}: expected 100 to 60000", file.probe_ms));
     }
     let node = site.settings.node as usize;
-    if node >= peers.len() || peers.len() > MOST_PEERS {
-        let count = peers.len();
+    let count = peers.len();
+    if file.advertise.is_some() {
+        if let Some(peer) = peers.iter().find(|peer| !peer.is_ipv4()) {
+            return Err(format!(
+                "fleet: the peer {peer}: expected an IPv4 address, as fleet.advertise is one"
+            ));
+        }
+        if count > MOST_PEERS {
+            return Err(format!("fleet: {count} peers: expected {MOST_PEERS} at most"));
+        }
+    } else if node >= count || count > MOST_PEERS {
         return Err(format!(
             "fleet: {count} peers: expected an address for each node up to this one's number, {node}, and {MOST_PEERS} at most"
         ));
     }
     let listen = listen.ok_or("fleet: peer_listen is missing")?;
-    Ok(Fleet { cluster: file.cluster, period: Duration::from_millis(file.probe_ms), listen, peers })
+    Ok(Fleet {
+        cluster: file.cluster,
+        period: Duration::from_millis(file.probe_ms),
+        listen,
+        peers,
+        advertise: file.advertise,
+        saved: file.saved,
+    })
 }
 
 /// The first key of the running configuration that a new one is short of: that is how a file looks which was
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -10,6 +10,7 @@
 mod discovery;
 mod front;
 mod handover;
+mod kept;
 mod lifecycle;
 mod log;
 mod messages;
--- a/src/bin/sillward/peers.rs
+++ b/src/bin/sillward/peers.rs
@@ -3,6 +3,7 @@
 
 use crate::config::{Config, Fleet, MOST_PEERS};
 use crate::handover::Pair;
+use crate::kept;
 use crate::lifecycle::{Lifecycle, State};
 use crate::log::log;
 use crate::messages::Message;
@@ -10,14 +11,16 @@
 use hillpick_fleet::{Address, Agreement, Certainty, DATAGRAM, Identity, Membership, Name, Output, Settings};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::task::{JoinHandle, spawn_blocking};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// The predecessor in an upgrade holds the address until it goes: it is asked for so often.
@@ -26,6 +29,8 @@
 const TELL_EVERY: Duration = Duration::from_millis(500);
 /// An answer to a probe is waited for so long, as a part of the period.
 const PATIENCE: f64 = 0.3;
+/// Members are written to disk at most so often: a start needs some that still live, not the last change.
+const SAVE_EVERY: Duration = Duration::from_secs(2);
 /// Datagrams taken in before anything else has its turn.
 const AT_A_TIME: usize = 64;
 
@@ -77,7 +82,7 @@
             "departed": departed,
             "counters": {"sent": counters.sent, "sent_bytes": counters.sent_bytes, "heard": counters.heard,
                 "rejected": rejected, "doubted": counters.doubted, "renewed": counters.renewed,
-                "failed": counters.failed, "left": counters.left}
+                "spared": counters.spared, "failed": counters.failed, "left": counters.left}
         }))
     }
 }
@@ -94,6 +99,13 @@
     })
 }
 
+/// What a start finds again of the life before: when that began, and whom it knew.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Saved {
+    started_ms: u64,
+    members: Vec<(Name, Address)>,
+}
+
 /// Takes part in membership for as long as the process runs.
 pub struct Peers {
     fleet: Fleet,
@@ -107,6 +119,11 @@
     lifecycle: Rc<Lifecycle>,
     pair: Rc<Pair>,
     told: Option<Tier>,
+    /// The port on which it hears.
+    port: u16,
+    /// What the disk holds, and the write that is under way.
+    saved: Saved,
+    saving: Option<JoinHandle<()>>,
 }
 
 impl Peers {
@@ -132,6 +149,9 @@
             lifecycle,
             pair,
             told: None,
+            port: 0,
+            saved: Saved::default(),
+            saving: None,
         })
     }
 
@@ -161,6 +181,8 @@
                 Err(what) => return log(what),
             };
         };
+        self.port = socket.local_addr().map(|address| address.port()).unwrap_or_default();
+        self.load();
         let mut phase = self.lifecycle.watch();
         loop {
             if phase.wait_for(|phase| phase.state != State::Standby).await.is_err() {
@@ -180,22 +202,41 @@
 
     fn start(&mut self) {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let address = match self.fleet.advertise {
+            None => Address::Seat(self.node),
+            Some(address) if address.port() == 0 => {
+                Address::Socket(SocketAddrV4::new(*address.ip(), self.port))
+            }
+            Some(address) => Address::Socket(address),
+        };
         let me = Identity {
-            name: self.name.clone(),
-            started_ms: unix.as_millis() as u64,
+            name: self.name,
+            // Later than its last life, also where the clock has been set back.
+            started_ms: (unix.as_millis() as u64).max(self.saved.started_ms.saturating_add(1)),
             renewed: 0,
-            address: Address::Seat(self.node),
+            address,
             zone: self.zone,
             program: program(),
         };
+        self.saved.started_ms = me.started_ms;
         let settings = Settings {
             cluster: self.fleet.cluster.clone(),
             tier: self.nodes as usize,
             period: self.fleet.period,
             patience: self.fleet.period.mul_f64(PATIENCE),
             most: MOST_PEERS,
+            doubts_itself: true,
+        };
+        let seat = |(seat, peer): (usize, &SocketAddr)| match (self.fleet.advertise, peer) {
+            (Some(_), SocketAddr::V4(peer)) => Address::Socket(*peer),
+            _ => Address::Seat(seat as u16),
         };
-        let seeds = (0..self.fleet.peers.len()).map(|seat| Address::Seat(seat as u16)).collect();
+        let mut seeds: Vec<_> = self.fleet.peers.iter().enumerate().map(seat).collect();
+        for (_, address) in &self.saved.members {
+            if !seeds.contains(address) {
+                seeds.push(*address);
+            }
+        }
         let seed = self.random.next_u64();
         let core = Membership::new(me, settings, seeds, seed, Duration::ZERO);
         *self.view.0.borrow_mut() = Some((core, Instant::now()));
@@ -208,6 +249,7 @@
     ) {
         let mut data = [0; DATAGRAM + 1];
         let mut tell_at = Instant::now() + TELL_EVERY;
+        let mut save_at = Instant::now() + SAVE_EVERY;
         loop {
             let wake = self.wake_at().map_or(tell_at, |at| at.min(tell_at));
             tokio::select! {
@@ -237,18 +279,64 @@
                 tell_at = Instant::now() + TELL_EVERY;
                 self.tell();
             }
+            if Instant::now() >= save_at {
+                save_at = Instant::now() + SAVE_EVERY;
+                self.save();
+            }
         }
     }
 
+    /// What the life before has left. A file that is broken is no reason not to start: `peers` is there as well.
+    fn load(&mut self) {
+        let Some(path) = &self.fleet.saved else { return };
+        match kept::load::<Saved>(path) {
+            Ok(None) => {}
+            Ok(Some(kept)) => {
+                let known = kept.value.members.len();
+                let age =
+                    kept.age.map_or("of an unknown age".into(), |age| format!("{} s old", age.as_secs()));
+                log(format_args!("{known} saved members, {age}, to be asked who lives"));
+                self.saved = kept.value;
+                self.saved.members.truncate(MOST_PEERS);
+            }
+            Err(problem) => log(format_args!("no saved members from {}: {problem}", path.display())),
+        }
+    }
+
+    /// Writes its members to disk if they have changed, off the thread that serves. Who knows nobody keeps what was known.
+    fn save(&mut self) {
+        let Some(path) = self.fleet.saved.clone() else { return };
+        if self.saving.as_ref().is_some_and(|saving| !saving.is_finished()) {
+            return;
+        }
+        let now = {
+            let view = self.view.0.borrow();
+            let Some((core, begun)) = view.as_ref() else { return };
+            let members = core.members(begun.elapsed());
+            let members = members.into_iter().map(|it| (it.identity.name, it.identity.address)).collect();
+            Saved { started_ms: core.me().started_ms, members }
+        };
+        if now.members.is_empty() || now == self.saved {
+            return;
+        }
+        self.saved = now.clone();
+        self.saving = Some(spawn_blocking(move || {
+            if let Err(e) = kept::save(&path, &now) {
+                log(format_args!("cannot save the members to {}: {e}", path.display()));
+            }
+        }));
+    }
+
     fn wake_at(&self) -> Option<Instant> {
         let view = self.view.0.borrow();
         let (core, begun) = view.as_ref()?;
         core.wake_at().map(|at| *begun + at)
     }
 
-    /// What comes from no peer's address is nobody's.
+    /// What comes from no peer's address is nobody's; where members come with addresses of their own, the cluster's hash
+    /// has to do.
     fn hear(&self, from: SocketAddr, data: &[u8], out: &mut Vec<Output>) {
-        if !self.fleet.peers.contains(&from) {
+        if self.fleet.advertise.is_none() && !self.fleet.peers.contains(&from) {
             return;
         }
         if let Some((core, begun)) = &mut *self.view.0.borrow_mut() {
@@ -264,6 +352,9 @@
                         let _ = socket.try_send_to(&data, *to); // a full buffer loses it, as a network may
                     }
                 }
+                Output::Send { to: Address::Socket(to), data } if self.fleet.advertise.is_some() => {
+                    let _ = socket.try_send_to(&data, to.into());
+                }
                 // Nobody here is known by another address than the configuration's.
                 Output::Send { to: Address::Socket(_), .. } => {}
                 Output::Changed(change) => {
