Go by zones: stay near, spill and leave by cost, return slowly, evacuate by hand

The module was blind to zones: two thirds of a three-zone fleet's requests crossed, a zone's loss was learnt server by server, and a recovered one was returned to at once. With a zones object (off without it) shares of own requests move by what each zone costs: towards the nearest, away from slow ones, away fast from one most of whose servers fail, back over a stated time and more slowly after each relapse. GET /zones, POST /zones/NAME/evacuate and /restore; they outlast SIGHUP, end by themselves, and spare the last zone that works.

--- a/crates/lab/src/emu/nodes.rs
+++ b/crates/lab/src/emu/nodes.rs
@@ -92,7 +92,8 @@
         it.life += 1;
         (it.offset_s, it.busy) = (it.step_s, self.now);
         it.told.clear();
-        let settings = hillpick::Settings { node, zone: it.zone, ..self.plan.settings.clone() };
+        let zones = Some(self.plan.zones_from(it.zone));
+        let settings = hillpick::Settings { node, zone: it.zone, zones, ..self.plan.settings.clone() };
         let random = chance(self.seed, 21 + u64::from(it.life) * 16, node.into()).random();
         it.strategy = Some((self.make)(settings, random));
         let (life, seen) = (it.life, it.seen);
--- a/crates/lab/src/emu/plan.rs
+++ b/crates/lab/src/emu/plan.rs
@@ -7,7 +7,8 @@
 use crate::size::Size;
 use crate::spec::{Experiment, Repeat, Reports};
 use crate::time::{FOREVER, Nanos, millis, secs};
-use hillpick::{Limits, ReportSource, Rules, Scope, Settings};
+use hillpick::{Limits, ReportSource, Rules, Scope, Settings, Zones};
+use std::time::Duration;
 
 /// The time of a node's clock at the begin of a run: any moment will do, but not zero.
 pub const EPOCH: Nanos = 1_000_000 * crate::time::SECOND;
@@ -15,6 +16,8 @@
 const UNIT_S: f64 = 0.02;
 /// The rule on cold servers allows a little for chance: so many mean requests.
 const TIP_SLACK: f64 = 3.0;
+/// In what time a zone's share returns: the node's default.
+const RETURN: Duration = Duration::from_secs(20);
 /// How long after a client's time a final answer still counts: the protocol's figure.
 pub const ANSWER_SLACK: Nanos = 5_000_000;
 
@@ -171,6 +174,16 @@
         })
     }
 
+    /// The zones as a node of one of them sees them.
+    pub fn zones_from(&self, zone: u8) -> Zones {
+        let all = 0..self.zones.len() as u8;
+        Zones {
+            round_trip: all.map(|to| Duration::from_nanos(2 * self.latency(zone, to))).collect(),
+            region: self.region_of.iter().map(|region| *region as u16).collect(),
+            return_time: RETURN,
+        }
+    }
+
     /// The number of a zone.
     pub fn zone(&self, name: &str) -> Option<u8> {
         self.zones.iter().position(|zone| zone == name).map(|zone| zone as u8)
--- a/crates/lab/src/strategy/mod.rs
+++ b/crates/lab/src/strategy/mod.rs
@@ -46,6 +46,10 @@
     Members,
     /// With a membership that never doubts itself, to hold local health against.
     MembersUndoubting,
+    /// The decisions of hillpick, told of the zones.
+    Zones,
+    /// The plain rule: of two random servers of the own zone, or of all where that has none.
+    ZoneFirst,
     /// A random server.
     Random,
     /// One server after another.
@@ -63,6 +67,8 @@
             "module" => Some(Kind::Module),
             "module+members" => Some(Kind::Members),
             "module+members-undoubting" => Some(Kind::MembersUndoubting),
+            "module+zones" => Some(Kind::Zones),
+            "zone-first" => Some(Kind::ZoneFirst),
             "random" => Some(Kind::Random),
             "round-robin" => Some(Kind::RoundRobin),
             "least-of-two" => Some(Kind::LeastOfTwo),
@@ -72,7 +78,13 @@
 
     /// A node of this kind that has just started.
     pub fn start(self, settings: Settings, seed: u64) -> Box<dyn Strategy> {
+        let zones = settings.zones.clone().filter(|_| self == Kind::Zones);
+        let settings = Settings { zones, ..settings };
         match self {
+            Kind::Zones => Box::new(Balancer::new(settings, seed)),
+            Kind::ZoneFirst => {
+                Box::new(plain::Plain::new(settings, seed, plain::LeastOfTwo::default()).in_own_zone())
+            }
             Kind::Module => Box::new(Balancer::new(settings, seed)),
             Kind::Members => Box::new(members::WithMembers::new(settings, seed, true)),
             Kind::MembersUndoubting => Box::new(members::WithMembers::new(settings, seed, false)),
@@ -90,6 +102,8 @@
             Kind::Module => out.write_str("module"),
             Kind::Members => out.write_str("module+members"),
             Kind::MembersUndoubting => out.write_str("module+members-undoubting"),
+            Kind::Zones => out.write_str("module+zones"),
+            Kind::ZoneFirst => out.write_str("zone-first"),
             Kind::Random => out.write_str("random"),
             Kind::RoundRobin => out.write_str("round-robin"),
             Kind::LeastOfTwo => out.write_str("least-of-two"),
@@ -110,8 +124,8 @@
     fn try_from(name: String) -> Result<Self, String> {
         Kind::named(&name).ok_or_else(|| {
             format!(
-                "{name:?} is no strategy: expected module, module+members, module+members-undoubting, random, round-robin, \
-                 least-of-two or jut-M with an M from 1 to 1000"
+                "{name:?} is no strategy: expected module, module+members, module+members-undoubting, module+zones, \
+                 zone-first, random, round-robin, least-of-two or jut-M with an M from 1 to 1000"
             )
         })
     }
--- a/crates/lab/src/strategy/plain.rs
+++ b/crates/lab/src/strategy/plain.rs
@@ -80,7 +80,10 @@
     settings: Settings,
     random: Pcg64Mcg,
     pick: P,
-    known: BTreeMap<ServerId, ServerState>,
+    /// Each server's state and zone.
+    known: BTreeMap<ServerId, (ServerState, u8)>,
+    /// It picks among those of its own zone, if there are any.
+    own_zone: bool,
     /// Those in service, and the place of each.
     servers: Vec<ServerId>,
     places: HashMap<ServerId, usize>,
@@ -95,12 +98,18 @@
             random: Pcg64Mcg::seed_from_u64(seed),
             pick,
             known: BTreeMap::new(),
+            own_zone: false,
             servers: Vec::new(),
             places: HashMap::new(),
             open: HashMap::new(),
         }
     }
 
+    /// The same, among the servers of its own zone where that has any.
+    pub fn in_own_zone(self) -> Self {
+        Plain { own_zone: true, ..self }
+    }
+
     /// Refused if to try again is harmless, else failed.
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.remove(&id) else { return };
@@ -115,8 +124,12 @@
     }
 
     fn relist(&mut self) {
-        let ready = self.known.iter().filter(|(_, state)| **state == ServerState::Ready);
-        self.servers = ready.map(|(id, _)| *id).collect();
+        let ready = || self.known.iter().filter(|(_, (state, _))| *state == ServerState::Ready);
+        let here = ready().filter(|(_, (_, zone))| self.own_zone && *zone == self.settings.zone);
+        self.servers = here.map(|(id, _)| *id).collect();
+        if self.servers.is_empty() {
+            self.servers = ready().map(|(id, _)| *id).collect();
+        }
         self.places = self.servers.iter().zip(0..).map(|(id, place)| (*id, place)).collect();
         self.pick.listed(self.servers.len());
     }
@@ -129,8 +142,8 @@
                 if kind != ListKind::Changes {
                     self.known.clear();
                 }
-                self.known.extend(entries.iter().map(|entry| (entry.id, entry.state)));
-                self.known.retain(|_, state| *state != ServerState::Gone);
+                self.known.extend(entries.iter().map(|entry| (entry.id, (entry.state, entry.zone))));
+                self.known.retain(|_, (state, _)| *state != ServerState::Gone);
                 self.relist();
             }
             Event::Request(new) => {
--- a/src/bin/sillward/config.rs
+++ b/src/bin/sillward/config.rs
@@ -1,8 +1,9 @@
 //! What a node is told at its start: the file that `PROXY_CONFIG` names.
 
 use crate::body::KEPT;
-use hillpick::settings::{self, Site};
+use hillpick::settings::{self, Site, ZonesText};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use serde_json::value::RawValue;
 use std::cell::RefCell;
@@ -40,6 +41,9 @@
     /// Membership; without it the node knows the others by number alone.
     #[serde(default)]
     fleet: Option<FleetFile>,
+    /// How far the zones are; without it zones are alike.
+    #[serde(default)]
+    zones: Option<ZonesText>,
     settings: Box<RawValue>,
 }
 
@@ -105,6 +109,7 @@
     /// The list of backends as this node last had it: discovery's JSON, perhaps old.
     pub known: Option<String>,
     pub fleet: Option<Fleet>,
+    pub zones: Option<ZonesText>,
     pub site: Rc<Site>,
     /// The file without the list: a later one has to hold what this one holds.
     shape: Value,
@@ -153,6 +158,7 @@
         }
         let mut site = Site::clone(&self.site);
         site.number_as(&running.site);
+        site.settings.zones = self.zones.as_ref().map(|zones| zones.by_number(&site.zone_names));
         self.site = Rc::new(site);
         Ok(())
     }
@@ -163,7 +169,15 @@
             "" => 0,
             seed => u64::from_str_radix(seed, 16).map_err(|e| format!("seed: {e}"))?,
         };
-        let site = settings::parse(file.settings.get().as_bytes())?;
+        let mut site = settings::parse(file.settings.get().as_bytes())?;
+        let zones = match file.zones {
+            Some(zones) => Some(zones),
+            None => from_env::<ZonesText>("SILLWARD_ZONES")?,
+        };
+        if let Some(problem) = zones.as_ref().and_then(ZonesText::problem) {
+            return Err(problem);
+        }
+        site.settings.zones = zones.as_ref().map(|zones| zones.by_number(&site.zone_names));
         // Two numbers would mean the same class or tenant if a name stood twice.
         for names in [&site.class_names, &site.tenant_names, &site.zone_names] {
             if names.iter().enumerate().any(|(i, name)| name.is_empty() || names[..i].contains(name)) {
@@ -180,7 +194,7 @@
         }
         let wanted = match file.fleet {
             Some(fleet) => Some(fleet),
-            None if site.peers && file.peer_listen.is_some() => file_from_env()?,
+            None if site.peers && file.peer_listen.is_some() => from_env::<FleetFile>("SILLWARD_FLEET")?,
             None => None,
         };
         let fleet = wanted.map(|fleet| self::fleet(fleet, &file.name, file.peer_listen, file.peers, &site));
@@ -209,18 +223,20 @@
                 .clamp(KEPT / 1024, Semaphore::MAX_PERMITS),
             known: file.known.map(|known| known.get().to_owned()),
             fleet,
+            zones,
             site: Rc::new(site),
             shape,
         })
     }
 }
 
-/// The `fleet` object of `SILLWARD_FLEET`, for nodes whose configuration is written by somebody who knows nothing of it: it
-/// holds where the file has none and allows messages between nodes.
-fn file_from_env() -> Result<Option<FleetFile>, String> {
-    let Some(text) = std::env::var_os("SILLWARD_FLEET") else { return Ok(None) };
+/// An object of the configuration that stands in the environment, for nodes whose configuration is written by somebody who
+/// knows nothing of it: `SILLWARD_FLEET` holds where the file has no `fleet` and allows messages between nodes,
+/// `SILLWARD_ZONES` where it has no `zones`.
+fn from_env<T: DeserializeOwned>(name: &str) -> Result<Option<T>, String> {
+    let Some(text) = std::env::var_os(name) else { return Ok(None) };
     let parsed = serde_json::from_str(&text.to_string_lossy());
-    parsed.map(Some).map_err(|e| format!("SILLWARD_FLEET: {e}; expected an object as in the configuration"))
+    parsed.map(Some).map_err(|e| format!("{name}: {e}; expected an object as in the configuration"))
 }
 
 /// Membership, if all that it needs is there and the settings allow it.
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -30,6 +30,7 @@
 use std::os::fd::AsFd;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -94,6 +95,7 @@
     let node = node::Node::new(clock, &config, pool, messages.clone(), orders);
     let lifecycle = Rc::new(Lifecycle::new());
     let view = peers::View::default();
+    let evacuation = config.zones.as_ref().map(|zones| Duration::from_secs_f64(zones.evacuation_s));
     let peers = peers::Peers::new(&config, view.clone(), messages.clone(), lifecycle.clone(), pair.clone());
     if let Some(peers) = peers {
         let socket = peers.bind().await?;
@@ -111,7 +113,9 @@
     if let Some(listener) = ops {
         let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
         log(format_args!("{} takes the operators' calls on {address}", config.name));
-        tokio::task::spawn_local(ops::Ops::new(lifecycle.clone(), ready, view).run(listener));
+        tokio::task::spawn_local(
+            ops::Ops::new(lifecycle.clone(), ready, view, evacuation, messages.clone()).run(listener),
+        );
     }
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     log(format_args!("{} listens on {address}", config.name));
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -3,7 +3,7 @@
 use crate::body::{Outgoing, Piece, Upload};
 use bytes::Bytes;
 use hillpick::settings::Site;
-use hillpick::{ListKind, LoadReport, NewRequest, Outcome, RequestId, ServerEntry, ServerId, Tier};
+use hillpick::{ListKind, LoadReport, NewRequest, Outcome, RequestId, ServerEntry, ServerId, Tier, ZoneView};
 use http_body_util::Full;
 use hyper::Method;
 use hyper::header::HeaderValue;
@@ -27,10 +27,27 @@
     Settings(Rc<Site>),
     /// What is known of the tier has changed.
     Tier(Tier),
+    /// The staff ask how the zones stand, after an order if there is one.
+    Zones(Option<Evacuation>, oneshot::Sender<Option<Vec<ZoneTold>>>),
     /// The process is told to stop, and what has not come whole by now is not taken any more.
     LastByte,
 }
 
+/// The staff want a zone of this name empty for so long, or not any more.
+pub struct Evacuation {
+    pub zone: String,
+    pub lasts: Option<Duration>,
+}
+
+/// A zone by its name, as the module sees it, and for how long it has stood so.
+pub struct ZoneTold {
+    pub name: String,
+    pub view: ZoneView,
+    pub age: Duration,
+    /// So long it stays evacuated.
+    pub left: Option<Duration>,
+}
+
 /// A request that the front has taken.
 pub struct Taken {
     pub new: NewRequest,
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -5,7 +5,9 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::log::log;
-use crate::messages::{Answer, Attempt, Ended, Forward, Message, Order, ProbeEnded, Started, Stop, Taken};
+use crate::messages::{
+    Answer, Attempt, Ended, Evacuation, Forward, Message, Order, ProbeEnded, Started, Stop, Taken, ZoneTold,
+};
 use hillpick::settings::{Site, places};
 use hillpick::*;
 use std::cmp::Reverse;
@@ -142,6 +144,10 @@
                 self.decide(Event::List { kind: news.kind, entries });
             }
             Message::Tier(tier) => self.decide(Event::Tier(tier)),
+            Message::Zones(order, reply) => {
+                let told = self.zones(order);
+                let _ = reply.send(told); // who asked may have gone
+            }
             Message::LastByte => {
                 let arriving = self.held.iter().filter(|(_, held)| held.forward.body.is_cut());
                 let out = arriving.flat_map(|(id, held)| (0..held.attempts.len()).map(|i| (*id, i as u32)));
@@ -282,6 +288,23 @@
         None
     }
 
+    /// How the zones stand, after an order of the staff's; `None` where the node does not go by zones.
+    fn zones(&mut self, order: Option<Evacuation>) -> Option<Vec<ZoneTold>> {
+        self.site.settings.zones.as_ref()?;
+        if let Some(order) = order {
+            let zone = self.site.zone_names.iter().position(|name| *name == order.zone)?;
+            self.decide(Event::Evacuate { zone: u8::try_from(zone).ok()?, lasts: order.lasts });
+        }
+        let now = self.clock.now();
+        let named = self.balancer.zones().into_iter().map(|view| ZoneTold {
+            name: self.site.zone_names.get(usize::from(view.zone)).cloned().unwrap_or_default(),
+            age: now.saturating_sub(view.since),
+            left: view.evacuated.map(|until| until.saturating_sub(now)),
+            view,
+        });
+        Some(named.collect())
+    }
+
     fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration) -> Option<Event> {
         let now = self.clock.now();
         let held = self.held.get_mut(&id)?;
--- a/src/bin/sillward/ops.rs
+++ b/src/bin/sillward/ops.rs
@@ -3,6 +3,7 @@
 
 use crate::lifecycle::{Lifecycle, State};
 use crate::log::log;
+use crate::messages::{Evacuation, Message, ZoneTold};
 use crate::peers::View;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,12 +13,14 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
@@ -38,11 +41,54 @@
     ready: Rc<Cell<bool>>,
     /// What it knows of the other nodes.
     view: View,
+    /// How long an evacuation lasts if the call does not say, where the node goes by zones.
+    evacuation: Option<Duration>,
+    messages: mpsc::Sender<Message>,
+}
+
+/// A call, by its path.
+enum Call<'a> {
+    Status,
+    Members,
+    Zones,
+    Evacuate(&'a str),
+    Restore(&'a str),
+    Enter(State),
+}
+
+impl<'a> Call<'a> {
+    fn of(path: &'a str) -> Option<Self> {
+        Some(match path {
+            "/status" => Call::Status,
+            "/members" => Call::Members,
+            "/zones" => Call::Zones,
+            "/standby" => Call::Enter(State::Standby),
+            "/active" => Call::Enter(State::Active),
+            _ => match path.strip_prefix("/zones/")?.split_once('/')? {
+                (zone, "evacuate") => Call::Evacuate(zone),
+                (zone, "restore") => Call::Restore(zone),
+                _ => return None,
+            },
+        })
+    }
+
+    fn method(&self) -> Method {
+        match self {
+            Call::Status | Call::Members | Call::Zones => Method::GET,
+            Call::Evacuate(_) | Call::Restore(_) | Call::Enter(_) => Method::POST,
+        }
+    }
 }
 
 impl Ops {
-    pub fn new(lifecycle: Rc<Lifecycle>, ready: Rc<Cell<bool>>, view: View) -> Rc<Self> {
-        Rc::new(Ops { lifecycle, ready, view })
+    pub fn new(
+        lifecycle: Rc<Lifecycle>,
+        ready: Rc<Cell<bool>>,
+        view: View,
+        evacuation: Option<Duration>,
+        messages: mpsc::Sender<Message>,
+    ) -> Rc<Self> {
+        Rc::new(Ops { lifecycle, ready, view, evacuation, messages })
     }
 
     /// Takes calls for as long as the node runs, also while it drains.
@@ -77,11 +123,10 @@
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
         let (head, body) = request.into_parts();
-        let allowed = match head.uri.path() {
-            "/status" | "/members" => Method::GET,
-            "/standby" | "/active" => Method::POST,
-            _ => return Ok(told(StatusCode::NOT_FOUND, "no such call")),
+        let Some(call) = Call::of(head.uri.path()) else {
+            return Ok(told(StatusCode::NOT_FOUND, "no such call"));
         };
+        let allowed = call.method();
         if head.method != allowed {
             let mut response = told(StatusCode::METHOD_NOT_ALLOWED, "wrong method for this call");
             let allowed = HeaderValue::from_static(if allowed == Method::GET { "GET" } else { "POST" });
@@ -91,14 +136,51 @@
         if Limited::new(body, BODY_LIMIT).collect().await.is_err() {
             return Ok(told(StatusCode::BAD_REQUEST, "a body that is broken or too long"));
         }
-        Ok(match head.uri.path() {
-            "/status" => self.status(),
-            "/members" => self.members(),
-            "/standby" => self.enter(State::Standby),
-            _ => self.enter(State::Active),
+        Ok(match call {
+            Call::Status => self.status(),
+            Call::Members => self.members(),
+            Call::Zones => self.zones(None).await,
+            Call::Evacuate(zone) => match self.lasting(head.uri.query()) {
+                Ok(lasts) => self.zones(Some((zone, Some(lasts)))).await,
+                Err(what) => told(StatusCode::BAD_REQUEST, what),
+            },
+            Call::Restore(zone) => self.zones(Some((zone, None))).await,
+            Call::Enter(state) => self.enter(state),
         })
     }
 
+    /// How long an evacuation is to last: `for_s` of the call, or as configured.
+    fn lasting(&self, query: Option<&str>) -> Result<Duration, &'static str> {
+        let usual = self.evacuation.unwrap_or_default();
+        let Some(text) = query else { return Ok(usual) };
+        let seconds = text.strip_prefix("for_s=").and_then(|text| text.parse().ok());
+        let seconds = seconds.filter(|seconds| (1..=86_400).contains(seconds));
+        seconds.map(Duration::from_secs).ok_or("expected for_s=SECONDS, 1 to 86400")
+    }
+
+    /// How the zones stand, after an order if there is one.
+    async fn zones(&self, order: Option<(&str, Option<Duration>)>) -> Response<Full<Bytes>> {
+        let (reply, answer) = oneshot::channel();
+        let evacuation = order.map(|(zone, lasts)| Evacuation { zone: zone.into(), lasts });
+        if self.messages.send(Message::Zones(evacuation, reply)).await.is_err() {
+            return told(StatusCode::SERVICE_UNAVAILABLE, "terminating");
+        }
+        let zones = answer.await.ok().flatten();
+        let Some(zones) =
+            zones.filter(|zones| order.is_none_or(|(at, _)| zones.iter().any(|z| z.name == at)))
+        else {
+            return told(StatusCode::NOT_FOUND, "no such zone, or no zones are configured");
+        };
+        let kept = |(at, lasts): (&str, Option<Duration>)| {
+            lasts.is_some() && zones.iter().any(|zone| zone.name == at && zone.left.is_none())
+        };
+        if order.is_some_and(kept) {
+            return told(StatusCode::CONFLICT, "no other zone works: it stays in use");
+        }
+        let all: Vec<_> = zones.iter().map(told_of).collect();
+        json(&json!({ "zones": all }))
+    }
+
     /// Yes once this process can serve: it listens before it takes calls here, so that the list decides.
     fn status(&self) -> Response<Full<Bytes>> {
         match (self.lifecycle.now().state, self.ready.get()) {
@@ -114,9 +196,7 @@
         let Some(view) = self.view.tell() else {
             return told(StatusCode::NOT_FOUND, "no fleet is configured");
         };
-        let mut response = Response::new(Full::new(Bytes::from(format!("{view}\n"))));
-        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        response
+        json(&view)
     }
 
     fn enter(&self, state: State) -> Response<Full<Bytes>> {
@@ -134,6 +214,19 @@
     }
 }
 
+fn told_of(zone: &ZoneTold) -> Value {
+    let view = &zone.view;
+    json!({"name": zone.name, "share": view.share, "ready": view.ready, "ill": view.ill, "slow": view.slow,
+        "standing": format!("{:?}", view.standing).to_lowercase(), "for_ms": zone.age.as_millis() as u64,
+        "evacuated_for_ms": zone.left.map(|left| left.as_millis() as u64)})
+}
+
+fn json(value: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{value}\n"))));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 fn told(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(format!("{text}\n"))));
     *response.status_mut() = status;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -44,6 +44,56 @@
     pub list_on_request: bool,
     /// The least time between two rounds of events, and so the precision of timers.
     pub tick: Duration,
+    /// How far the zones are, where the node goes by them; without it zones are alike.
+    pub zones: Option<Zones>,
+}
+
+/// The zones, as this node sees them: by number, for as many as the settings name.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Zones {
+    /// The time to a server of each zone and back, in the usual case.
+    pub round_trip: Vec<Duration>,
+    /// The region of each zone.
+    pub region: Vec<u16>,
+    /// So long the share of a zone that was left grows back from a hundredth to all.
+    pub return_time: Duration,
+}
+
+/// A zone, as a node sees it now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ZoneView {
+    /// Its number.
+    pub zone: u8,
+    /// The share of the node's requests that goes there first; the shares of all sum to 1.
+    pub share: f64,
+    /// Its servers that are in service.
+    pub ready: usize,
+    /// The part of its servers seen lately whose last outcome was a failure.
+    pub ill: f64,
+    /// How much of their aim its requests take, 1 for those that come too late or not at all; `None` if none was seen.
+    pub slow: Option<f64>,
+    /// What that comes to.
+    pub standing: Standing,
+    /// Since when it stands so.
+    pub since: Duration,
+    /// Evacuated by hand until then.
+    pub evacuated: Option<Duration>,
+}
+
+/// How a zone stands with a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing is wrong with it.
+    #[default]
+    Sound,
+    /// Most of its servers fail, and it gets trials alone.
+    Left,
+    /// It answers again, and its share grows over a stated time.
+    Returning,
+    /// The staff want it empty.
+    Evacuated,
+    /// The staff want it empty, but no other zone works.
+    Needed,
 }
 
 /// A class of requests.
@@ -394,6 +444,13 @@
     },
     /// What is known of the tier has changed. Until this comes, the settings say how many nodes there are.
     Tier(Tier),
+    /// The staff want a zone empty for so long, or not any more.
+    Evacuate {
+        /// The zone.
+        zone: u8,
+        /// How long at most, from now; nothing ends it.
+        lasts: Option<Duration>,
+    },
     /// A message from another node.
     Peer {
         /// The sender's number.
@@ -519,6 +576,7 @@
             goal: Goal { whole: 1.0, ..Goal::default() },
             list_on_request: false,
             tick: Duration::from_millis(1),
+            zones: None,
         }
     }
 }
--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -1,6 +1,8 @@
 //! Rule 4: what a server that has just started is sent, so that all nodes together don't push it over.
 
+use crate::interface::Rules;
 use crate::state::{Balancer, Server};
+use std::time::Duration;
 
 /// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
 const COLD_SPEND: f64 = 0.4;
@@ -23,9 +25,15 @@
         if now > self.warm_at {
             return;
         }
-        let cold = self.ring().take(2 * self.enough()).filter(|s| self.warmth(s) < 1.0);
-        let cold: Vec<_> = cold.map(|s| s.entry.id).collect();
-        let part = if cold.is_empty() { 0.0 } else { self.carried_by_one() };
+        for zone in self.parts() {
+            self.draw_tickets_in(zone, rules, now);
+        }
+    }
+
+    fn draw_tickets_in(&mut self, zone: Option<u8>, rules: Rules, now: Duration) {
+        let near = self.ring_in(zone).take(2 * self.enough());
+        let cold: Vec<_> = near.filter(|s| self.warmth(s) < 1.0).map(|s| s.entry.id).collect();
+        let part = if cold.is_empty() { 0.0 } else { self.carried_by_one(zone) };
         for id in cold {
             let Some(warmth) = self.servers.get(&id).map(|s| self.warmth(s)) else { continue };
             let rate = rules.overload_factor * COLD_SPEND * warmth * part;
@@ -38,11 +46,12 @@
         }
     }
 
-    /// What a warm server carries for this node a second; if none is warm, an even part of what arrives.
-    pub(super) fn carried_by_one(&self) -> f64 {
-        let near = self.enough().min(self.order.len());
-        let warm = self.ring().take(near).filter(|s| self.warmth(s) >= 1.0).count();
-        let (total, by) = if warm > 0 { (&self.carried, warm) } else { (&self.arrived, near.max(1)) };
-        total.per_s(self.now, self.memory()) / by as f64
+    /// What a warm server carries for this node a second, of the part that goes to its zone; if none is warm,
+    /// an even part of what arrives.
+    pub(super) fn carried_by_one(&self, zone: Option<u8>) -> f64 {
+        let near: Vec<_> = self.ring_in(zone).take(self.enough()).map(|s| self.warmth(s) >= 1.0).collect();
+        let warm = near.iter().filter(|warm| **warm).count();
+        let (total, by) = if warm > 0 { (&self.carried, warm) } else { (&self.arrived, near.len().max(1)) };
+        total.per_s(self.now, self.memory()) * self.share_of(zone) / by as f64
     }
 }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -40,6 +40,7 @@
             s.out -= u32::from(counted).min(s.out);
             s.ended(kind, end.outcome, cut_short, now, memory);
         }
+        self.zone_saw(&end, kind, aim, overdue);
         self.on_report(end.server, end.report, end.outcome == Outcome::Served);
         // Where a server is broken for the class, that says nothing of how crowded servers are.
         let reached = !matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset);
@@ -79,14 +80,16 @@
                 self.in_time[..=crowd].iter_mut().for_each(|share| *share += (1.0 - *share) * SMOOTH);
                 let next = &mut self.in_time[(crowd + 1).min(LEVELS - 1)];
                 *next += (1.0 - *next) * SMOOTH / 2.0;
-                self.taken = (self.taken + SMOOTH * 2.0 / 7.0).min(2.0);
+                let taken = self.taken_mut(end.server);
+                *taken = (*taken + SMOOTH * 2.0 / 7.0).min(2.0);
             }
             _ if late || matches!(end.outcome, Outcome::Served | Outcome::Rejected) => {
                 if crowd > 0 {
                     self.in_time[crowd..].iter_mut().for_each(|share| *share -= *share * SMOOTH);
                 } else {
                     // Not crowded by this node: others crowd it, or something is wrong with it.
-                    self.taken = (self.taken - self.taken * SMOOTH).max(SMOOTH / 2.0);
+                    let taken = self.taken_mut(end.server);
+                    *taken = (*taken - *taken * SMOOTH).max(SMOOTH / 2.0);
                 }
             }
             _ => {}
@@ -103,7 +106,8 @@
             return;
         }
         let (failing, on_trial, times) = (server.failing, server.ejected.is_some(), server.ejections);
-        let ready: Vec<_> = self.ring().take(2 * self.enough()).collect();
+        let zone = self.servers.get(&id).and_then(|server| self.zone_of(server));
+        let ready: Vec<_> = self.ring_in(zone).take(2 * self.enough()).collect();
         let room = 2 * ready.iter().filter(|s| s.ejected.is_some()).count() + 2 <= ready.len();
         // What all suffer is no server's fault, and half stay unless they can't be reached from here at all.
         if on_trial || weight >= 1.0 || room && failing > 0.5 && failing > 1.5 * self.failing {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,6 +11,7 @@
 mod retry;
 mod send;
 mod tier;
+mod zones;
 
 use crate::interface::*;
 pub use crate::state::Balancer;
@@ -39,8 +40,12 @@
             self.ask_at = Some(self.now + self.settings.rules.ask_within.mul_f64(self.random() / 4.0));
             self.on_tick(actions);
         }
+        self.tend_zones(false, actions);
         match event {
-            Event::List { kind, entries } => self.on_list(kind, entries),
+            Event::List { kind, entries } => {
+                self.on_list(kind, entries);
+                self.tend_zones(true, actions);
+            }
             Event::Request(new) => self.on_request(new, actions),
             Event::Arrived { id } => self.on_arrived(id, actions),
             Event::Started { id, attempt, .. } => self.on_started(id, attempt, actions),
@@ -51,6 +56,7 @@
             Event::Probed(end) => self.on_probed(end, actions),
             Event::Settings { settings, classes, tenants } => self.resettle(*settings, &classes, &tenants),
             Event::Tier(tier) => self.tier = Some(tier),
+            Event::Evacuate { zone, lasts } => self.on_evacuate(zone, lasts, actions),
             Event::Peer { .. } => {}
         }
     }
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -48,7 +48,8 @@
     pub(super) fn fits(&self, server: &Server, chance: f64) -> Option<f64> {
         let crowd = self.crowd(server);
         let level = crowd.round() as usize;
-        let open = chance <= self.taken && (level == 0 || self.in_time[level.min(LEVELS - 1)] >= 0.75);
+        let open =
+            chance <= self.taken_at(server) && (level == 0 || self.in_time[level.min(LEVELS - 1)] >= 0.75);
         // A few are tried in any case, or else nothing would tell of better times.
         (open || server.out == 0 && chance < SMOOTH / 2.0).then_some(crowd)
     }
--- a/src/policy/send.rs
+++ b/src/policy/send.rs
@@ -3,7 +3,7 @@
 use super::figures::{LEVELS, SMOOTH};
 use super::pick::{any_of, few};
 use crate::interface::*;
-use crate::state::{Attempt, Balancer, Server};
+use crate::state::{Attempt, Balancer, Request, Server};
 use std::time::Duration;
 
 /// An attempt at a request that still arrives has no time-out of the module's: the node sees that bytes come.
@@ -14,37 +14,35 @@
     pub(super) fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let (luck, draw) = (self.random(), self.random());
         self.draw_tickets();
+        let zone_draw = if self.settings.zones.is_some() { self.random() } else { 0.0 };
         let Some(request) = self.requests.get(&id).filter(|r| !r.done && self.may_go(r)) else { return };
-        let permitted = self.ring().filter(|s| self.permitted(s, request));
-        let permitted = few(permitted.take(self.enough()));
-        let again = !request.attempts.is_empty();
-        if self.now >= request.until
-            || request.spent
-            || again && (self.retry_tokens < 1.0 || permitted.is_empty())
-        {
+        // Where the node goes by zones, the next one is asked when in one nobody is left that may answer in
+        // time.
+        let (chance, mut choice, mut full) = (luck.powf(request.value), None, Vec::new());
+        for (zone, permitted) in self.candidates(request, zone_draw, luck) {
+            let (healthy, fitting) =
+                self.choose(request, permitted, (self.is_trial(request, zone, luck), chance));
+            let none = fitting.is_empty();
+            full.extend(zone.filter(|_| none));
+            choice = if none { choice.or(Some((healthy, fitting))) } else { Some((healthy, fitting)) };
+            if !none {
+                break;
+            }
+        }
+        let (again, nobody) = (!request.attempts.is_empty(), choice.is_none());
+        if self.now >= request.until || request.spent || again && (self.retry_tokens < 1.0 || nobody) {
             return self.finish(id, actions);
         }
-        if permitted.is_empty() {
+        let Some((healthy, fitting)) = choice else {
             // Nobody is listed, or only cold servers without a ticket: hold it a while.
             let after = Duration::from_secs_f64(self.answer_time / 8.0).max(self.settings.tick);
             return actions.push(Action::SetTimer { after, token: id.0 });
-        }
-        // Soft gates give way when they leave nobody. Ejected servers get one request in so many on trial,
-        // seldom one that can't be sent again: else trials take most of a quiet node's requests.
-        let once = request.terms.class.repeat == Repeat::Unsafe;
-        let trial = !again && luck * if once { 4.0 } else { 1.0 } < SMOOTH;
-        let due = |s: &Server| trial && s.ejected.is_some_and(|until| self.now >= until && s.out == 0);
-        let due: Vec<_> = permitted.iter().copied().filter(|s| due(s)).collect();
-        let sound = |s: &&Server| s.ejected.is_none() && !self.broken_for(s, request.class);
-        let sound = few(permitted.iter().copied().filter(|s| due.is_empty() && sound(s)));
-        let healthy = [due, sound, permitted].into_iter().find(|some| !some.is_empty()).unwrap_or_default();
-        let chance = luck.powf(request.value);
-        let fits = healthy.iter().filter_map(|s| Some((*s, self.fits(s, chance)?)));
-        let fitting = self.uncrowded(few(fits));
+        };
         let (below, any) = (self.below_cap(&fitting, draw), any_of(&fitting, draw));
         let ask = below.is_none() && !request.probed && !self.held.contains(&id);
         let unknown = |s: &&&Server| ask && !s.probing && self.fresh_load(s).is_none();
         let unknown: Vec<_> = healthy.iter().filter(unknown).map(|s| s.entry.id).collect();
+        full.iter().for_each(|zone| self.zone_full(*zone));
         // The lowest estimate below m, or a probe for one, or one at random where all have reached m.
         match below {
             Some(server) => self.send(id, server, actions),
@@ -55,6 +53,37 @@
         }
     }
 
+    /// Ejected servers get one request in so many on trial, seldom one that can't be sent again: else trials
+    /// take most of a quiet node's requests. In a zone that gets no more than trials each is one.
+    pub(super) fn is_trial(&self, request: &Request, zone: Option<u8>, luck: f64) -> bool {
+        let once = request.terms.class.repeat == Repeat::Unsafe;
+        request.attempts.is_empty()
+            && (luck * if once { 4.0 } else { 1.0 } < SMOOTH || self.on_trial(zone) && !once)
+    }
+
+    /// It may have its trial.
+    pub(super) fn is_due(&self, server: &Server) -> bool {
+        server.ejected.is_some_and(|until| self.now >= until && server.out == 0)
+    }
+
+    /// Of those permitted in one part of the ring: the healthy, and of these the ones that are not too
+    /// crowded.
+    fn choose<'a>(
+        &self,
+        request: &Request,
+        permitted: Vec<&'a Server>,
+        (trial, chance): (bool, f64),
+    ) -> (Vec<&'a Server>, Vec<&'a Server>) {
+        // Soft gates give way when they leave nobody.
+        let due: Vec<_> = permitted.iter().copied().filter(|s| trial && self.is_due(s)).collect();
+        let sound = |s: &&Server| s.ejected.is_none() && !self.broken_for(s, request.class);
+        let sound = few(permitted.iter().copied().filter(|s| due.is_empty() && sound(s)));
+        let healthy = [due, sound, permitted].into_iter().find(|some| !some.is_empty()).unwrap_or_default();
+        let fits = healthy.iter().filter_map(|s| Some((*s, self.fits(s, chance)?)));
+        let fitting = self.uncrowded(few(fits));
+        (healthy, fitting)
+    }
+
     /// The only place that sends. Every rule is checked here, whatever led to it.
     pub(super) fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let now = self.now;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::*;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// A load report's columns, in the order of their values.
@@ -92,6 +93,67 @@
     }
 }
 
+/// Zones and regions, as a configuration tells them: by name.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZonesText {
+    /// The zones of each region; a zone that is in none is a region of its own.
+    #[serde(default)]
+    pub regions: BTreeMap<String, Vec<String>>,
+    /// The time to a server of each zone and back, in ms, seen from this node; 0 for one that is not named.
+    #[serde(default)]
+    pub latency_ms: BTreeMap<String, f64>,
+    /// So long the share of a zone that was left grows back, in s.
+    #[serde(default = "return_s")]
+    pub return_s: f64,
+    /// So long an evacuation by hand lasts if nobody renews it, in s.
+    #[serde(default = "evacuation_s")]
+    pub evacuation_s: f64,
+}
+
+fn return_s() -> f64 {
+    20.0
+}
+
+fn evacuation_s() -> f64 {
+    900.0
+}
+
+impl ZonesText {
+    /// What makes no sense of it, if anything does not.
+    pub fn problem(&self) -> Option<String> {
+        let names: Vec<_> = self.regions.values().flatten().collect();
+        let twice = names.iter().enumerate().find(|(i, name)| names[..*i].contains(name));
+        if let Some((_, name)) = twice {
+            return Some(format!("zones.regions: {name} stands in two places; expected each zone once"));
+        }
+        if let Some((name, ms)) = self.latency_ms.iter().find(|(_, ms)| !(0.0..=60_000.0).contains(*ms)) {
+            return Some(format!("zones.latency_ms.{name} = {ms}: expected 0 to 60000"));
+        }
+        if !(1.0..=3600.0).contains(&self.return_s) {
+            return Some(format!("zones.return_s = {}: expected 1 to 3600", self.return_s));
+        }
+        if !(1.0..=86_400.0).contains(&self.evacuation_s) {
+            return Some(format!("zones.evacuation_s = {}: expected 1 to 86400", self.evacuation_s));
+        }
+        None
+    }
+
+    /// The same by the numbers of the zones.
+    pub fn by_number(&self, names: &[String]) -> Zones {
+        let region = |(number, name): (usize, &String)| {
+            let at = self.regions.values().position(|zones| zones.contains(name));
+            at.unwrap_or(self.regions.len() + number) as u16
+        };
+        let round_trip = |name| millis(self.latency_ms.get(name).copied().unwrap_or_default());
+        Zones {
+            round_trip: names.iter().map(round_trip).collect(),
+            region: names.iter().enumerate().map(region).collect(),
+            return_time: millis(self.return_s * 1e3),
+        }
+    }
+}
+
 /// Where each of these names stood among the earlier ones.
 pub fn places(names: &[String], earlier: &[String]) -> Vec<Option<usize>> {
     names.iter().map(|name| earlier.iter().position(|old| old == name)).collect()
@@ -343,6 +405,7 @@
         },
         list_on_request: matches!(raw.registry_mode, Mode::Ask),
         tick: millis(raw.quantum),
+        zones: None,
     };
     Ok(Site {
         settings,
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,6 +29,37 @@
     /// While cold: until when it may be sent a request, and when that was last drawn for.
     pub ticket: Duration,
     pub drawn: Duration,
+    /// Whether what was seen of it last was a failure, and when that was.
+    pub last: Option<(bool, Duration)>,
+}
+
+/// What a node knows of a zone, where it goes by zones.
+#[derive(Clone, Default)]
+pub struct Zone {
+    /// The share of own requests that goes there first.
+    pub share: f64,
+    /// Its servers in service, and the part of those seen lately that failed last.
+    pub ready: usize,
+    pub ill: f64,
+    /// Parts of their aims that its requests took, and how many there were, forgotten over the time of an overload.
+    pub cost: Rate,
+    pub seen: Rate,
+    /// What [`Balancer::taken`] is for all, for its servers alone: a zone that is crowded says nothing of another.
+    pub taken: f64,
+    pub standing: Standing,
+    pub since: Duration,
+    /// How many times as slowly it returns: doubled by each relapse.
+    pub caution: u32,
+    /// The staff want it empty until then.
+    pub evacuated: Option<Duration>,
+}
+
+impl Zone {
+    /// The part of their aims that its requests take, if one was seen lately.
+    pub fn slow(&self, now: Duration, over: f64) -> Option<f64> {
+        let seen = self.seen.per_s(now, over) * over;
+        (seen > 0.1).then(|| self.cost.per_s(now, over) * over / seen)
+    }
 }
 
 impl Server {
@@ -161,7 +192,7 @@
 }
 
 /// How much of something there was lately, forgotten over a fixed time.
-#[derive(Default)]
+#[derive(Clone, Copy, Default)]
 pub struct Rate {
     pub sum: f64,
     pub at: Duration,
@@ -240,6 +271,9 @@
     /// Where the list must be asked for: when to ask next, and the wait after a failed call.
     pub(crate) ask_at: Option<Duration>,
     pub(crate) ask_wait: Duration,
+    /// The zones by number, where the node goes by them, and when their shares were last reckoned.
+    pub(crate) zones: BTreeMap<u8, Zone>,
+    pub(crate) zones_at: Duration,
 }
 
 /// How long a server may be cold, and a little more for what sums of shares lose.
@@ -280,10 +314,87 @@
             tier: None,
             ask_at: Default::default(),
             ask_wait: Default::default(),
+            zones: Default::default(),
+            zones_at: Default::default(),
             settings,
         }
     }
 
+    /// How far a zone is: the time to a server there and back, and steps of nearness: 0 for the node's own, 1 in its
+    /// region, 2 beyond. A zone that the settings don't name is beyond.
+    pub(crate) fn distance(&self, zone: u8) -> (f64, Duration) {
+        let Some(zones) = &self.settings.zones else { return (0.0, Duration::ZERO) };
+        let region = |zone: u8| zones.region.get(usize::from(zone));
+        let step = if zone == self.settings.zone {
+            0.0
+        } else if region(zone).is_some() && region(zone) == region(self.settings.zone) {
+            1.0
+        } else {
+            2.0
+        };
+        (step, zones.round_trip.get(usize::from(zone)).copied().unwrap_or_default())
+    }
+
+    /// Nobody in a zone could have answered in time: that counts like a request that came too late.
+    pub(crate) fn zone_full(&mut self, zone: u8) {
+        let (now, over) = (self.now, self.settings.rules.overload_time.as_secs_f64());
+        if let Some(zone) = self.zones.get_mut(&zone) {
+            zone.cost.add(now, over, 1.0);
+            zone.seen.add(now, over, 1.0);
+        }
+    }
+
+    /// The share of requests that a server's zone, or all, may be sent.
+    pub(crate) fn taken_at(&self, server: &Server) -> f64 {
+        self.zones.get(&server.entry.zone).map_or(self.taken, |zone| zone.taken)
+    }
+
+    pub(crate) fn taken_mut(&mut self, server: ServerId) -> &mut f64 {
+        if self.zones.is_empty() {
+            return &mut self.taken;
+        }
+        let zone = self.servers.get(&server).map(|server| server.entry.zone);
+        let zone = zone.and_then(|zone| self.zones.get_mut(&zone));
+        zone.map_or(&mut self.taken, |zone| &mut zone.taken)
+    }
+
+    /// Which zones there are, how many servers each has, and how many of those seen lately failed.
+    pub(crate) fn look_at(&self, zones: &mut BTreeMap<u8, Zone>, window: Duration) {
+        zones.values_mut().for_each(|it| it.ready = 0);
+        let mut news = BTreeMap::<u8, (f64, f64)>::new();
+        for (_, place) in &self.order {
+            let server = self.servers.at(*place);
+            let new = || Zone { taken: self.taken, ..Zone::default() };
+            zones.entry(server.entry.zone).or_insert_with(new).ready += 1;
+            if let Some((failed, _)) = server.last.filter(|(_, at)| self.now <= *at + window) {
+                let (bad, seen) = news.entry(server.entry.zone).or_default();
+                (*bad, *seen) = (*bad + f64::from(u8::from(failed)), *seen + 1.0);
+            }
+        }
+        // One more that is sound: a single failure says little where few were seen, but for all of them.
+        for (zone, (bad, seen)) in news {
+            let Some(it) = zones.get_mut(&zone) else { continue };
+            it.ill = if seen >= it.ready as f64 { bad / seen } else { bad / (seen + 1.0) };
+        }
+        zones.retain(|_, it| it.ready > 0 || it.evacuated.is_some());
+    }
+
+    /// The zones as they are now, for the staff to see. Empty where the node does not go by them.
+    pub fn zones(&self) -> Vec<ZoneView> {
+        let over = self.settings.rules.overload_time.as_secs_f64();
+        let view = |(zone, it): (&u8, &Zone)| ZoneView {
+            zone: *zone,
+            share: it.share,
+            ready: it.ready,
+            ill: it.ill,
+            slow: it.slow(self.now, over),
+            standing: it.standing,
+            since: it.since,
+            evacuated: it.evacuated,
+        };
+        self.zones.iter().map(view).collect()
+    }
+
     /// Takes new settings. What is kept by class or tenant goes where that stands now, and with it if it is gone.
     pub(crate) fn resettle(&mut self, new: Settings, classes: &[Option<usize>], tenants: &[Option<usize>]) {
         for server in self.servers.values_mut() {
@@ -306,6 +417,9 @@
         self.allowances = tenants.iter().map(|old| allowance(old).unwrap_or_default()).collect();
         let started = self.servers.values_mut().filter_map(|server| server.entry.started);
         self.warm_at = started.max().map(|at| at + margin(new.rules.warm_after)).unwrap_or_default();
+        if new.zones.is_none() {
+            self.zones.clear();
+        }
         self.settings = new;
     }
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -4,6 +4,7 @@
 mod members;
 mod operations;
 mod sockets;
+mod zonal;
 
 use sockets::*;
 use std::net::TcpListener;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -273,6 +273,16 @@
         self.now - self.requests[&id].tries[0].sent
     }
 
+    /// How long ago an attempt was sent.
+    pub fn attempt_age(&self, id: RequestId, attempt: usize) -> Duration {
+        self.now - self.requests[&id].tries[attempt].sent
+    }
+
+    /// Forgets requests that are answered and ended: a long play looks at those that are open at each step.
+    pub fn tidy(&mut self) {
+        self.requests.retain(|_, t| !t.answered || t.tries.iter().any(|t| t.outcome.is_none()));
+    }
+
     pub fn answered(&self, id: RequestId) -> bool {
         self.requests[&id].answered
     }
@@ -325,7 +335,7 @@
                 assert!(self.settings.limits.probes, "probes where that is not allowed");
                 self.probes.push((*server, self.now));
             }
-            Action::Subscribe { .. } | Action::FetchList => {}
+            Action::Subscribe { .. } | Action::FetchList | Action::Log { .. } => {}
             other => panic!("unexpected {other:?}"),
         }
     }
--- /dev/null
+++ b/tests/zonal/mod.rs
@@ -0,0 +1,97 @@
+//! A node that goes by zones, over loopback sockets: what its staff see and order, and what outlasts a SIGHUP.
+
+use crate::sockets::*;
+use std::time::Duration;
+
+const ZONES: &str = r#"{"zones":{"regions":{"north":["a","b"]},"latency_ms":{"b":1.5},"return_s":10},"#;
+
+/// The answer to a call of the staff's.
+fn call(node: &Node, start: &str) -> (u16, String) {
+    let answer = Client::connect(node.ops()).ask(start, "", b"");
+    (answer.status(), String::from_utf8(answer.body).expect("text"))
+}
+
+fn configured(discovery: std::net::SocketAddr, zones: &str) -> String {
+    with_ops(&config(discovery, &settings(1000, ""), 200)).replacen('{', zones, 1)
+}
+
+/// Two backends, of which the second is in another zone than the node, and a node that has been told of both.
+fn two_zones(zones: &str) -> (Node, [Backend; 2], Watch, Discovery) {
+    let backends = [Backend::start(|_| ok("near")), Backend::start(|_| ok("far"))];
+    let discovery = Discovery::start();
+    let config = configured(discovery.address, zones);
+    let node = Node::start(&config, "");
+    let mut watch = discovery.call();
+    watch.open();
+    let far = entry("s1", backends[1].address, "in_service").replace(r#""zone":"a""#, r#""zone":"b""#);
+    watch.line(&list(8, true, &[entry("s0", backends[0].address, "in_service"), far]));
+    until(|| node.is_ready(), "a list");
+    (node, backends, watch, discovery)
+}
+
+fn served(node: &Node) -> String {
+    let answer = node.client().ask("GET /read/1f", &common(5000), b"");
+    assert_eq!(answer.status(), 200);
+    String::from_utf8(answer.body).expect("text")
+}
+
+#[test]
+fn a_zone_is_evacuated_and_restored_by_hand() {
+    let (node, _backends, _watch, discovery) = two_zones(ZONES);
+    assert_eq!(served(&node), "near");
+    let (status, zones) = call(&node, "GET /zones");
+    assert!(
+        status == 200 && zones.contains(r#""name":"a""#) && zones.contains(r#""standing":"sound""#),
+        "{zones}"
+    );
+    assert_eq!(call(&node, "POST /zones/nowhere/evacuate").0, 404);
+    assert_eq!(call(&node, "POST /zones/a/evacuate?for_s=0").0, 400);
+    assert_eq!(call(&node, "GET /zones/a/evacuate").0, 405);
+    let (status, zones) = call(&node, "POST /zones/a/evacuate?for_s=600");
+    assert!(status == 200 && zones.contains(r#""standing":"evacuated""#), "{zones}");
+    node.logged("Evacuated after Sound");
+    until(|| served(&node) == "far" && served(&node) == "far" && served(&node) == "far", "the other zone");
+    assert_eq!(call(&node, "POST /zones/b/evacuate").0, 409, "the last zone that works");
+    // New settings change nothing of it.
+    let again = configured(discovery.address, ZONES);
+    node.reload(&again.replace("\"GiveUp\":1000", "\"GiveUp\":1100"));
+    node.logged("told to look again: discovery is at");
+    let (_, zones) = call(&node, "GET /zones");
+    assert!(zones.contains(r#""standing":"evacuated""#), "{zones}");
+    let (status, zones) = call(&node, "POST /zones/a/restore");
+    assert!(status == 200 && !zones.contains("evacuated\""), "{zones}");
+    until(|| served(&node) == "near", "the own zone");
+}
+
+#[test]
+fn an_evacuation_ends_by_itself() {
+    let (node, _backends, _watch, _discovery) = two_zones(ZONES);
+    assert_eq!(call(&node, "POST /zones/a/evacuate?for_s=1").0, 200);
+    until(
+        || {
+            std::thread::sleep(Duration::from_millis(50));
+            served(&node); // a node that has nothing to do looks at nothing
+            !call(&node, "GET /zones").1.contains("evacuated\"")
+        },
+        "its end",
+    );
+    node.logged("Returning after Evacuated");
+}
+
+#[test]
+fn without_zones_there_are_none_and_bad_ones_stop_the_start() {
+    let (node, _backends, _watch, _discovery) = two_zones("{");
+    assert_eq!(call(&node, "GET /zones").0, 404);
+    for (zones, why) in [
+        (r#"{"zones":{"return_s":0},"#, "zones.return_s = 0: expected 1 to 3600"),
+        (r#"{"zones":{"regions":{"n":["a"],"s":["a"]}},"#, "a stands in two places"),
+        (r#"{"zones":{"latency_ms":{"b":-1}},"#, "zones.latency_ms.b = -1: expected 0 to 60000"),
+        (r#"{"zones":{"latency":{}},"#, "unknown field `latency`"),
+    ] {
+        let nowhere = "127.0.0.1:1".parse().expect("an address");
+        let text = config(nowhere, &settings(1000, ""), 200).replacen('{', zones, 1);
+        let output = command(&text, "").output().expect("a node that ends");
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && log.contains(why), "{log}");
+    }
+}
