Tell a crowded zone from one that is gone: silence counts where hardly anybody answers

Ruled out: the ordinary path, which is the same, and cold servers, as there were none. A time-out now counts only where fewer than one server answers for four that are silent; a test fails without it.

--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -4,7 +4,7 @@
 
 use super::figures::SMOOTH;
 use crate::interface::*;
-use crate::state::{Balancer, Rate, Request, Server, Zone};
+use crate::state::{Balancer, Rate, Request, Server, Sign, Zone};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -128,18 +128,20 @@
             return;
         }
         let Some(server) = self.servers.get_mut(&end.server) else { return };
-        let failed = match end.outcome {
-            Outcome::Served => false,
-            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::TimedOut => true,
-            Outcome::Cancelled if late => true,
+        let sign = match end.outcome {
+            Outcome::Served => Sign::Served,
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => Sign::Failed,
+            Outcome::TimedOut => Sign::Silent,
+            Outcome::Cancelled if late => Sign::Silent,
             _ => return,
         };
+        let failed = sign != Sign::Served;
         let serves_others =
             class.and_then(|class| server.missed.get(&class)).is_some_and(|(_, serves)| *serves);
         if failed && serves_others {
             return;
         }
-        server.last = Some((failed, now));
+        server.last = Some((sign, now));
         let took = if failed { 1.0 } else { (end.elapsed.as_secs_f64() / aim.as_secs_f64()).min(1.0) };
         if let Some(zone) = self.zones.get_mut(&server.entry.zone) {
             zone.cost.add(now, over, took);
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Of those seen in a zone so few may answer, against those that are silent, before it is taken to be crowded.
+const FEW: f64 = 0.25;
+
 /// What a node knows of a server.
 #[derive(Default)]
 pub struct Server {
@@ -29,8 +32,17 @@
     /// While cold: until when it may be sent a request, and when that was last drawn for.
     pub ticket: Duration,
     pub drawn: Duration,
-    /// Whether what was seen of it last was a failure, and when that was.
-    pub last: Option<(bool, Duration)>,
+    /// What was seen of it last, and when that was.
+    pub last: Option<(Sign, Duration)>,
+}
+
+/// What an attempt shows of its server.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Sign {
+    Served,
+    Failed,
+    /// No answer came in time.
+    Silent,
 }
 
 /// What a node knows of a zone, where it goes by zones.
@@ -358,22 +370,24 @@
         zone.map_or(&mut self.taken, |zone| &mut zone.taken)
     }
 
-    /// Which zones there are, how many servers each has, and how many of those seen lately failed.
+    /// Which zones there are, how many servers each has, and how many of those seen lately failed. Silence is a failure
+    /// where hardly anybody in the zone answers: where some do, it is crowded.
     pub(crate) fn look_at(&self, zones: &mut BTreeMap<u8, Zone>, window: Duration) {
         zones.values_mut().for_each(|it| it.ready = 0);
-        let mut news = BTreeMap::<u8, (f64, f64)>::new();
+        let mut news = BTreeMap::<u8, [f64; 3]>::new();
         for (_, place) in &self.order {
             let server = self.servers.at(*place);
             let new = || Zone { taken: self.taken, ..Zone::default() };
             zones.entry(server.entry.zone).or_insert_with(new).ready += 1;
-            if let Some((failed, _)) = server.last.filter(|(_, at)| self.now <= *at + window) {
-                let (bad, seen) = news.entry(server.entry.zone).or_default();
-                (*bad, *seen) = (*bad + f64::from(u8::from(failed)), *seen + 1.0);
+            if let Some((sign, _)) = server.last.filter(|(_, at)| self.now <= *at + window) {
+                news.entry(server.entry.zone).or_default()[sign as usize] += 1.0;
             }
         }
-        // One more that is sound: a single failure says little where few were seen, but for all of them.
-        for (zone, (bad, seen)) in news {
+        for (zone, [served, failed, silent]) in news {
             let Some(it) = zones.get_mut(&zone) else { continue };
+            let (bad, seen) =
+                (failed + if served < FEW * silent { silent } else { 0.0 }, served + failed + silent);
+            // One more that is sound: a single failure says little where few were seen, but for all of them.
             it.ill = if seen >= it.ready as f64 { bad / seen } else { bad / (seen + 1.0) };
         }
         zones.retain(|_, it| it.ready > 0 || it.evacuated.is_some());
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -178,6 +178,18 @@
     assert!(of(&sends, 0) > 0.9 && served > 0.95, "{sends:?} {served}");
 }
 
+/// Six in ten of a zone's servers don't answer in time, and the others do: it is crowded, or a few are bad, but it is not
+/// gone.
+#[test]
+fn a_zone_where_some_answer_is_not_left_for_silence() {
+    let mut play = Play::usual();
+    play.does(|zone, server, _| if zone == 0 && server < 18 { How::Silent } else { FAST });
+    for _ in 0..20 {
+        play.run(1);
+        assert_ne!(play.zone(0).standing, Standing::Left, "{:?}", play.zone(0));
+    }
+}
+
 /// Up and down every five seconds: it is trusted ever less, so that little is lost in the end.
 #[test]
 fn a_zone_that_flaps_is_not_followed() {
