--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -11,8 +11,8 @@
 /// A nearer zone may take so much more of a request's aim before a farther one is preferred: an eighth, which
 /// is over the chance differences of zones alike.
 const MARGIN: f64 = 1.0 / 8.0;
-/// A zone that is left, or evacuated, loses its share by a factor of e in so many parts of a second: nineteen in
-/// twenty within two seconds.
+/// A zone that is left, or evacuated, loses its share by a factor of e in so many parts of a second: nineteen
+/// in twenty within two seconds.
 const HARD: f64 = 1.5;
 /// What all zones but the nearest get at least, together: news of how they do.
 const FLOOR: f64 = 1.0 / 64.0;
