--- /dev/null
+++ b/tests/crossings/client_gone.rs
@@ -0,0 +1,1 @@
+//! A client that leaves, against the attempts made for it.
--- /dev/null
+++ b/tests/crossings/client_side.rs
@@ -0,0 +1,1 @@
+//! SIGTERM and closes, against what clients send.
--- /dev/null
+++ b/tests/crossings/floods.rs
@@ -0,0 +1,1 @@
+//! Crowds that want nothing good, against clients that do.
--- /dev/null
+++ b/tests/crossings/handover.rs
@@ -0,0 +1,1 @@
+//! Upgrades, restarts and new settings, against requests and calls.
--- /dev/null
+++ b/tests/crossings/lists.rs
@@ -0,0 +1,1 @@
+//! Drains, silences and moves of discovery, against each other and against crowds.
--- /dev/null
+++ b/tests/crossings/retries.rs
@@ -0,0 +1,1 @@
+//! Attempts that end as another begins, a window ends or the settings change.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,6 +1,7 @@
 //! The real node over loopback sockets: each test is one failure, seen by a peer.
 
 mod bodies;
+mod crossings;
 mod lists;
 mod members;
 mod operations;
