Count attempts that were given up in the median answer, and keep one for each class

With no hints one median also held for classes whose work differs by 2.4. An attempt that was given up past the median now counts as above it, and each class has a median of its own once one of its answers is known.

--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -46,7 +46,7 @@
         let reached = !matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset);
         let broken = |s: &Server| reached && self.broken_for(s, kind);
         if !self.servers.get(&end.server).is_some_and(broken) {
-            self.learn(&end, overdue, tight, crowd, weight);
+            self.learn(&end, overdue, tight, crowd, (kind, weight));
         }
         if finished {
             self.close(end.id, actions);
@@ -56,12 +56,28 @@
     }
 
     /// Health and crowding, from how an attempt ended.
-    pub(super) fn learn(&mut self, end: &AttemptEnd, overdue: bool, tight: bool, crowd: usize, weight: f64) {
+    pub(super) fn learn(
+        &mut self,
+        end: &AttemptEnd,
+        overdue: bool,
+        tight: bool,
+        crowd: usize,
+        (class, weight): (Option<usize>, f64),
+    ) {
         let late = overdue && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
+        // One that was given up tells as well that it takes longer than it had taken by then: left out, the median
+        // would be that of those answers which had been waited for.
+        let cut = matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
+        let usual = self.median(class);
+        let (of_class, all) = (class.and_then(|class| self.medians.get_mut(class)), &mut self.median);
+        for (median, of) in [(usual, of_class), (*all, Some(all))] {
+            let above = end.elapsed > median.mul_f64(weight.max(1.0));
+            if let Some(kept) = of.filter(|_| end.outcome == Outcome::Served || cut && above) {
+                *kept = median.mul_f64(1.0 + if above { SMOOTH } else { -SMOOTH } / 4.0);
+            }
+        }
         match end.outcome {
             Outcome::Served => {
-                let above = end.elapsed.as_secs_f64() > self.median * weight.max(1.0);
-                self.median *= 1.0 + if above { SMOOTH } else { -SMOOTH } / 4.0;
                 self.answer_time += (end.elapsed.as_secs_f64() - self.answer_time) * SMOOTH / 4.0;
                 if self.servers.get(&end.server).is_some_and(|s| self.warmth(s) >= 1.0) {
                     self.carried.add(self.now, self.memory(), weight);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -25,7 +25,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or_default();
         let mut node = Balancer::empty(settings, Pcg32::seed_from_u64(seed));
-        (node.answer_time, node.median) = (aim.as_secs_f64() / 2.0, aim.as_secs_f64() / 4.0);
+        (node.answer_time, node.median) = (aim.as_secs_f64() / 2.0, aim / 4);
         (node.sends, node.idle_signs, node.busy) = (1.0, 1.0, 0.5);
         (node.in_time, node.taken, node.retry_tokens) = (vec![0.25; LEVELS], 2.0, 1.0 / RETRY_SHARE);
         node
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -44,7 +44,13 @@
 
     /// How long an attempt may be silent: a multiple of the median answer, which few answers exceed.
     pub(super) fn patience_with(&self, request: &Request) -> Duration {
-        Duration::from_secs_f64(SILENT * self.median * request.weight.clamp(1.0, 1e3))
-            .max(2 * self.settings.tick)
+        let usual = self.median(request.class).mul_f64(request.weight.clamp(1.0, 1e3));
+        usual.mul_f64(SILENT).max(2 * self.settings.tick)
+    }
+
+    /// The median time of an answer to this class, or to all where none of its own is known.
+    pub(super) fn median(&self, class: Option<usize>) -> Duration {
+        let own = class.and_then(|class| self.medians.get(class)).copied();
+        own.filter(|own| !own.is_zero()).unwrap_or(self.median)
     }
 }
--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -74,7 +74,7 @@
         let left = request.until.saturating_sub(self.now);
         let rank = |zone: u8, it: &Zone| {
             let (step, round_trip) = self.distance(zone);
-            let in_time = round_trip + Duration::from_secs_f64(self.median) <= left;
+            let in_time = round_trip + self.median(request.class) <= left;
             // Trials are for what may be sent again; seldom another, or a class of others would never tell.
             let trial = it.standing == Standing::Left && once && draw * 4.0 % 1.0 > SMOOTH;
             let doubtful = tried == Some(zone) && it.ill > SOUND && !once;
--- a/src/state.rs
+++ b/src/state.rs
@@ -253,8 +253,9 @@
     pub(crate) probes_out: u32,
     /// Smoothed time of an answer, and hinted work of a request, in seconds.
     pub(crate) answer_time: f64,
-    /// The median time of an answer, in seconds.
-    pub(crate) median: f64,
+    /// The median time of an answer, and of one to each class; zero until there is one.
+    pub(crate) median: Duration,
+    pub(crate) medians: Vec<Duration>,
     /// Smoothed share of failed attempts at all servers.
     pub(crate) failing: f64,
     pub(crate) usual_cost: f64,
@@ -306,7 +307,8 @@
             held: Default::default(),
             probes_out: Default::default(),
             answer_time: Default::default(),
-            median: Default::default(),
+            median: Duration::ZERO,
+            medians: vec![Duration::ZERO; settings.classes.len()],
             failing: Default::default(),
             usual_cost: Default::default(),
             usual_worth: settings.classes.iter().map(|c| c.worth).sum::<f64>()
@@ -427,6 +429,8 @@
             before.and_then(|old| self.patience.get(old)).copied().unwrap_or_default()
         });
         self.patience = patience.collect();
+        let median = |old: &Option<usize>| old.and_then(|old| self.medians.get(old)).copied();
+        self.medians = classes.iter().map(|old| median(old).unwrap_or_default()).collect();
         let allowance = |old: &Option<usize>| old.and_then(|old| self.allowances.get(old)).copied();
         self.allowances = tenants.iter().map(|old| allowance(old).unwrap_or_default()).collect();
         let started = self.servers.values_mut().filter_map(|server| server.entry.started);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -732,6 +732,57 @@
     }
 }
 
+/// Of so many requests of a class, how many attempts were given up, where each takes so long.
+fn given_up(world: &mut World, class: usize, count: u64, takes: impl Fn(u64) -> u64) -> usize {
+    let mut sent = 0;
+    for _ in 0..count {
+        let (id, _) = world.request(class);
+        while !world.answered(id) || !world.out().is_empty() {
+            world.pass(ms(1));
+            for (id, attempt) in world.out() {
+                if world.attempt_age(id, attempt) >= ms(takes(id.0 + 7 * attempt as u64)) {
+                    world.end(id, attempt, Outcome::Served, None);
+                }
+            }
+        }
+        sent += world.log.drain(..).filter(|a| matches!(a, Action::Send { .. })).count();
+        world.tidy();
+    }
+    sent - count as usize
+}
+
+fn one_at_a_time() -> World {
+    let mut settings = answering();
+    settings.limits.parallel_attempts = false;
+    World::with_servers(settings, 6)
+}
+
+/// The danger: most answers become slower than a node waits for. If it learns only from those that it has waited for,
+/// it gives up the others for good, and each of them is work that is done for nobody.
+#[test]
+fn answers_that_have_become_slower_are_waited_for_again() {
+    let mut world = one_at_a_time();
+    assert_eq!(given_up(&mut world, 0, 100, |_| 10), 0);
+    let mostly = |number| if number % 5 < 3 { 90 } else { 10 };
+    given_up(&mut world, 0, 200, mostly);
+    let given_up = given_up(&mut world, 0, 100, mostly);
+    assert!(given_up <= 10, "{given_up} attempts at 100 requests");
+}
+
+/// Where nothing hints at the work of a request its class tells of it: one that takes long is not given up by what
+/// the others take.
+#[test]
+fn a_class_is_waited_for_by_its_own_answers() {
+    let mut world = one_at_a_time();
+    let mixed = |world: &mut World| {
+        given_up(world, 0, 9, |_| 10);
+        given_up(world, 4, 1, |_| 90)
+    };
+    let before: usize = (0..40).map(|_| mixed(&mut world)).sum();
+    let after: usize = (0..20).map(|_| mixed(&mut world)).sum();
+    assert!(after <= 2, "{after} attempts at 20 requests, {before} at the first 40");
+}
+
 #[test]
 fn a_new_server_is_not_joined_by_everybody_at_once() {
     // The danger: it stands at zero at all nodes, and each sends it the next requests.
