--- a/crates/lab/src/emu/mod.rs
+++ b/crates/lab/src/emu/mod.rs
@@ -175,6 +175,9 @@
         self.set_faults();
         self.next_arrival();
         self.queue.push(SECOND, Ev::Sweep);
+        if self.nodes.iter().any(|node| node.strategy.as_ref().is_some_and(|it| it.sees())) {
+            self.queue.push(0, Ev::Look);
+        }
         let longest = self.plan.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
         let last = if longest >= FOREVER { FOREVER } else { self.plan.ends + longest + SETTLE };
         while let Some((at, ev)) = self.queue.pop() {
@@ -255,6 +258,10 @@
             }
             Ev::Fault { fault, step } => self.fault(fault, step),
             Ev::Sign { server, spell } => self.sign(server, spell),
+            Ev::Look => {
+                self.look();
+                self.queue.push(self.now + secs(self.plan.unit), Ev::Look);
+            }
             Ev::Sweep => {
                 self.sweep();
                 if let Some(one) = self.of_one_mind()
--- a/crates/lab/src/emu/server.rs
+++ b/crates/lab/src/emu/server.rs
@@ -179,6 +179,14 @@
         self.slowed.iter().fold(self.speed / crowd, |rate, (_, factor)| rate / factor)
     }
 
+    /// How long a request of the mean work that comes now would take, in those that a warm one with nothing to do takes;
+    /// `None` if it would get nothing done.
+    pub fn takes(&self, model: &Model, now: Nanos) -> Option<f64> {
+        let turned_away = self.draining || self.waiting.len() >= model.waiting;
+        let pace = self.rate(model) * self.warmth(model, now) * model.cores as f64;
+        (self.answers() && !turned_away && pace > 0.0).then(|| (self.held() + 1) as f64 / pace)
+    }
+
     /// When work of `left` is done at `rate`, exactly: while it warms, capacity rises evenly.
     fn end_of(&self, model: &Model, now: Nanos, left: f64, rate: f64) -> Nanos {
         if rate <= 0.0 {
--- a/crates/lab/src/emu/servers.rs
+++ b/crates/lab/src/emu/servers.rs
@@ -4,10 +4,12 @@
 use super::server::{AttemptNo, Entered, State};
 use super::world::*;
 use crate::judge::{Cause, Rule};
+use crate::strategy::Board;
 use crate::time::{Nanos, SECOND, secs};
 use hillpick::{Event, LoadReport, Outcome, ProbeEnd};
 use rand::Rng;
 use rand_distr::{Distribution, Exp1};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// An erring server answers at once: with a tenth of a mean request's work, which is not reckoned.
@@ -92,6 +94,21 @@
         }
     }
 
+    /// Shows the servers as they are to all strategies that see: those that get through from the node's zone and back.
+    pub fn look(&mut self) {
+        let board = |zone: u8| -> Rc<Board> {
+            let passes = |there: u8| self.trouble.passes(zone, there) && self.trouble.passes(there, zone);
+            let each = self.servers.iter().zip(0..).filter(|(it, _)| passes(it.zone));
+            let model = &self.plan.model;
+            Rc::new(each.filter_map(|(it, no)| Some((server_id(no), it.takes(model, self.now)?))).collect())
+        };
+        let boards: Vec<_> = (0..self.plan.zones.len() as u8).map(board).collect();
+        for node in &mut self.nodes {
+            let zone = usize::from(node.zone);
+            node.strategy.iter_mut().for_each(|it| it.see(&boards[zone]));
+        }
+    }
+
     /// The load that goes with an answer, where that is how it is told.
     fn told_with_answers(&self, server: ServerNo) -> Option<f32> {
         let told = self.plan.settings.reports == hillpick::ReportSource::Answers;
--- a/crates/lab/src/emu/world.rs
+++ b/crates/lab/src/emu/world.rs
@@ -74,6 +74,8 @@
     Sign { server: ServerNo, spell: u32 },
     /// Connections that have been idle for too long close.
     Sweep,
+    /// Strategies that see the truth are shown it.
+    Look,
 }
 
 /// A part of a fault.
--- a/crates/lab/src/expect.rs
+++ b/crates/lab/src/expect.rs
@@ -1,6 +1,6 @@
 //! What an experiment expects: a figure of one strategy, or the ratio of two, against a bound.
 
-use crate::judge::FIGURES;
+use crate::judge::{FIGURES, FLOORS};
 use crate::shares::Group;
 use crate::size::Size;
 use crate::strategy::Kind;
@@ -14,7 +14,7 @@
     pub strategy: Option<Kind>,
     /// Its name, as results have it.
     pub metric: String,
-    /// Of this class or tenant alone; only `served` is told so.
+    /// Of this class, tenant or third of the day alone; only `served` is told so.
     pub of: Option<Group>,
 }
 
@@ -49,7 +49,7 @@
         word: String,
     },
     /// No figure is told so.
-    #[error("{text:?}: {word:?}: expected served[class=NAME] or served[tenant=NUMBER], counted from 0")]
+    #[error("{text:?}: {word:?}: expected served[class=NAME], served[tenant=NUMBER], counted from 0, or served[third=1] to 3")]
     Group {
         /// The expectation.
         text: String,
@@ -113,6 +113,9 @@
         match key {
             "class" if metric == "served" => Some(Group::Class(value.into())),
             "tenant" if metric == "served" => value.parse().ok().map(Group::Tenant),
+            "third" if metric == "served" => {
+                value.parse().ok().filter(|third| (1..=3).contains(third)).map(Group::Third)
+            }
             _ => None,
         }
     };
@@ -155,6 +158,12 @@
         [Some(&self.figure), self.over.as_ref()].into_iter().flatten().filter_map(|f| f.strategy).collect()
     }
 
+    /// Whether it names a figure that holds a run against what is seen late.
+    pub fn needs_late_seeing(&self) -> bool {
+        let floors = &FIGURES[FIGURES.len() - FLOORS..];
+        [Some(&self.figure), self.over.as_ref()].into_iter().flatten().any(|f| floors.contains(&&*f.metric))
+    }
+
     /// The classes and tenants that it names.
     pub fn groups(&self) -> Vec<&Group> {
         [Some(&self.figure), self.over.as_ref()].into_iter().flatten().filter_map(|f| f.of.as_ref()).collect()
@@ -211,7 +220,9 @@
             ("nobody.served >= 1", "no strategy \"nobody\": expected module"),
             ("served >= much", "expected a number after >= or <=, not \"much\""),
             ("@300 served >= 1", "expected"),
-            ("served[class] >= 1", "expected served[class=NAME] or served[tenant=NUMBER]"),
+            ("served[class] >= 1", "expected served[class=NAME], served[tenant=NUMBER]"),
+            ("served[third=4] >= 1", "served[third=1] to 3"),
+            ("served[third=0] >= 1", "served[third=1] to 3"),
             ("served[tenant=x] >= 1", "expected served[class=NAME]"),
             ("served[tenant=1 >= 1", "expected served[class=NAME]"),
             ("late[class=view] <= 1", "expected served[class=NAME]"),
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -17,7 +17,7 @@
 pub const GOAL: Goal = Goal { whole: 0.55, worst_window: 0.15, worst_class: 0.3, worst_tenant: 0.0 };
 
 /// The figures of a run that expectations may name.
-pub const FIGURES: [&str; 42] = [
+pub const FIGURES: [&str; 46] = [
     "served",
     "worst_1s",
     "worst_10s",
@@ -60,8 +60,15 @@
     "false_deaths",
     "false_deaths_sound",
     "one_view_s",
+    "served_floor",
+    "class_floor",
+    "tenant_floor",
+    "third_floor",
 ];
 
+/// Those of them that hold a run against that of `late-seeing` from the same seed.
+pub const FLOORS: usize = 4;
+
 /// One of the four rules, in the order of the wire's page.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -208,6 +215,9 @@
     pub classes: BTreeMap<String, Part>,
     /// Likewise, by number.
     pub tenants: BTreeMap<usize, Part>,
+    /// The part of each third of the day; of a run without requests in one of them, none.
+    #[serde(default)]
+    pub thirds: Vec<Part>,
     /// Served share of each zone.
     pub zones: BTreeMap<String, f64>,
     /// The faults.
@@ -231,12 +241,29 @@
 }
 
 impl Outcome {
-    /// A figure by its name; of a class or a tenant if one is given, which have `served` alone.
+    /// Holds it against what the policy that sees late was served from the same seed.
+    pub fn hold_against(&mut self, late: &Outcome) {
+        let of = |outcome: &Outcome| outcome.figures.get("served").copied().unwrap_or(f64::NAN);
+        let classes = self.classes.iter().filter_map(|(name, part)| Some((part, late.classes.get(name)?)));
+        let tenants = self.tenants.iter().filter_map(|(number, part)| Some((part, late.tenants.get(number)?)));
+        let values = [
+            of(self) / of(late),
+            shares::floor(classes, true),
+            shares::floor(tenants, false),
+            shares::floor(self.thirds.iter().zip(&late.thirds), false),
+        ];
+        let told = FIGURES[FIGURES.len() - FLOORS..].iter().zip(values).filter(|(_, value)| value.is_finite());
+        let told: Vec<_> = told.map(|(name, value)| (name.to_string(), value)).collect();
+        self.figures.extend(told);
+    }
+
+    /// A figure by its name; of a class, a tenant or a third if one is given, which have `served` alone.
     pub fn figure(&self, name: &str, of: Option<&Group>) -> Option<f64> {
         let part = match of {
             None => return self.figures.get(name).copied(),
             Some(Group::Class(class)) => self.classes.get(class),
             Some(Group::Tenant(number)) => self.tenants.get(number),
+            Some(Group::Third(number)) => self.thirds.get(number.wrapping_sub(1)),
         };
         part.filter(|_| name == "served").map(|part| part.served)
     }
@@ -402,6 +429,7 @@
             names.zip(parts).filter_map(|(name, part)| Some((name, part?))).collect();
         let parts = shares::of_tenants(&self.by_tenant, all.requests).into_iter().enumerate();
         let tenants: BTreeMap<_, _> = parts.filter_map(|(number, part)| Some((number, part?))).collect();
+        let thirds: Option<Vec<_>> = shares::of_thirds(&self.windows, all.requests).into_iter().collect();
         let zones = by_name(run.zones, &self.by_zone);
         let one_view_s = self.one_view_s(&run.faults);
         let faults: Vec<_> = run
@@ -491,6 +519,7 @@
             windows: self.windows,
             classes,
             tenants,
+            thirds: thirds.unwrap_or_default(),
             zones,
             faults,
             lost,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -324,7 +324,8 @@
 /// The sizes of an experiment or a rig, and what it asks.
 fn about(file: &Path) -> Result<(String, String), Failure> {
     // A rig's file says how many nodes there are; in an experiment's, nodes are a table.
-    let table: toml::Table = std::fs::read_to_string(file)?.parse().unwrap_or_default();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let table: toml::Table = text.parse().unwrap_or_default();
     if table.get("nodes").is_some_and(toml::Value::is_integer) {
         let rig = Rig::read(file)?;
         return Ok((format!("rig {}x{}", rig.nodes, rig.servers), rig.about));
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -91,10 +91,10 @@
     Ok(html + "</table>")
 }
 
-/// What classes and tenants were served.
+/// What classes, tenants and thirds of the day were served.
 fn parts(outcomes: &[Outcome], size: &str, kinds: &[String]) -> Drawn {
     let mut html = format!(
-        "<h3>Served of classes and tenants</h3><table><tr><th><th>of requests<th>of worth<th>held{}",
+        "<h3>Served of classes, tenants and thirds of the day</h3><table><tr><th><th>of requests<th>of worth<th>held{}",
         head(kinds)
     );
     for (group, part) in crate::results::groups(outcomes, size) {
--- a/crates/lab/src/results.rs
+++ b/crates/lab/src/results.rs
@@ -157,8 +157,21 @@
         bar.inc(1);
         Ok(outcome)
     });
-    let outcomes = outcomes.collect();
+    let outcomes: Result<_, Trouble> = outcomes.collect();
     bar.finish_and_clear();
+    Ok(with_floors(outcomes?))
+}
+
+/// Each run held against that of the policy that sees late, where there is one of its size and seed.
+fn with_floors(mut outcomes: Vec<Outcome>) -> Vec<Outcome> {
+    let name = Kind::LateSeeing.to_string();
+    let late: Vec<_> = outcomes.iter().filter(|outcome| outcome.strategy == name).cloned().collect();
+    for outcome in &mut outcomes {
+        let same = |late: &&Outcome| late.size == outcome.size && late.seed == outcome.seed;
+        if let Some(late) = late.iter().find(same) {
+            outcome.hold_against(late);
+        }
+    }
     outcomes
 }
 
@@ -184,7 +197,7 @@
     if outcomes.is_empty() {
         return Err(Trouble::Empty { path: folder.into() });
     }
-    Ok((experiment, outcomes))
+    Ok((experiment, with_floors(outcomes)))
 }
 
 /// The values of a figure over the seeds, of one strategy at one size; only those that are numbers.
@@ -203,21 +216,24 @@
     those.filter_map(|outcome| outcome.figure(figure, of)).filter(|value| value.is_finite()).collect()
 }
 
-/// Parts by tenant and class, classes first.
-type Gathered<'a> = BTreeMap<(Option<usize>, &'a str), (Group, Vec<&'a Part>)>;
+/// Parts by class, tenant and third, in this order.
+type Gathered<'a> = BTreeMap<(u8, usize, &'a str), (Group, Vec<&'a Part>)>;
 
-/// What each class, and each tenant that is held to a least part, had at a size: its part of requests and worth (which
+/// What each class, each tenant that is held to a least part, and each third of the day had at a size: its part of requests and worth (which
 /// no strategy changes), as means over all runs.
 pub fn groups(outcomes: &[Outcome], size: &str) -> Vec<(Group, Part)> {
     let mut of = Gathered::new();
     for outcome in outcomes.iter().filter(|outcome| outcome.size == size) {
         for (name, part) in &outcome.classes {
             let group = || (Group::Class(name.clone()), Vec::new());
-            of.entry((None, name)).or_insert_with(group).1.push(part);
+            of.entry((0, 0, name)).or_insert_with(group).1.push(part);
         }
         for (number, part) in outcome.tenants.iter().filter(|(_, part)| part.held) {
             let group = || (Group::Tenant(*number), Vec::new());
-            of.entry((Some(*number), "")).or_insert_with(group).1.push(part);
+            of.entry((1, *number, "")).or_insert_with(group).1.push(part);
+        }
+        for (third, part) in (1..).zip(&outcome.thirds) {
+            of.entry((2, third, "")).or_insert_with(|| (Group::Third(third), Vec::new())).1.push(part);
         }
     }
     let mean = |parts: &[&Part], of: fn(&Part) -> f64| {
--- a/crates/lab/src/rig/spec.rs
+++ b/crates/lab/src/rig/spec.rs
@@ -202,8 +202,7 @@
 
     /// Reads and checks the text of a file.
     pub fn parse(file: &str, text: &str) -> Result<Self, Problem> {
-        let form = |source| Problem::Form { file: file.to_string(), source: Box::new(source) };
-        let rig: Rig = toml::from_str(text).map_err(form)?;
+        let rig: Rig = toml::from_str(text).map_err(|error| Problem::form(file, text, &error))?;
         rig.check(file)?;
         Ok(rig)
     }
--- a/crates/lab/src/shares.rs
+++ b/crates/lab/src/shares.rs
@@ -42,6 +42,8 @@
     Class(String),
     /// That of a tenant, by number.
     Tenant(usize),
+    /// That of a third of the day, 1 to 3, by when it was asked for.
+    Third(usize),
 }
 
 impl fmt::Display for Group {
@@ -49,11 +51,12 @@
         match self {
             Group::Class(name) => write!(out, "class={name}"),
             Group::Tenant(number) => write!(out, "tenant={number}"),
+            Group::Third(number) => write!(out, "third={number}"),
         }
     }
 }
 
-/// What a class or a tenant had of a run.
+/// What a class, a tenant or a third of the day had of a run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Part {
     /// Worth served within the aim over worth asked for; of a tenant, inside its share only.
@@ -89,6 +92,25 @@
     parts(books, requests, false, |_| false)
 }
 
+/// The parts of the three thirds of the day, all of which are held; its seconds are dealt out as evenly as they can be.
+pub fn of_thirds(seconds: &[Window], requests: u64) -> Vec<Option<Part>> {
+    let mut books = [Window::default(), Window::default(), Window::default()];
+    for (second, window) in seconds.iter().enumerate() {
+        books[second * 3 / seconds.len()].add(window);
+    }
+    parts(&books, requests, true, |_| true)
+}
+
+/// Where the policy that sees late serves less of a class, its share of that is not asked for (the standing test's figure).
+const NOT_HELD_BELOW: f64 = 0.3;
+
+/// The least of what those that are held were served, over what `late` served of the same; no number if there is none.
+pub fn floor<'a>(pairs: impl Iterator<Item = (&'a Part, &'a Part)>, classes: bool) -> f64 {
+    let held = pairs.filter(|(_, late)| late.held && late.served > 0.0);
+    let asked = held.filter(|(_, late)| !classes || late.served >= NOT_HELD_BELOW);
+    asked.map(|(part, late)| part.served / late.served).fold(f64::NAN, f64::min)
+}
+
 /// The least that one of those which are held was served; no number if there is none.
 pub fn worst<'a>(parts: impl Iterator<Item = &'a Part>) -> f64 {
     parts.filter(|part| part.held).map(|part| part.served).fold(f64::NAN, f64::min)
--- a/crates/lab/src/spec/mod.rs
+++ b/crates/lab/src/spec/mod.rs
@@ -26,12 +26,16 @@
         source: std::io::Error,
     },
     /// It is no TOML, or holds a key or a value of a kind that none of this is.
-    #[error("{file}: {source}")]
+    #[error("{file}:{line}: {what}, in `{text}`")]
     Form {
         /// The file.
         file: String,
-        /// Line, key, value and what was expected.
-        source: Box<toml::de::Error>,
+        /// The line, from 1 on.
+        line: usize,
+        /// Key or value, and what was expected.
+        what: String,
+        /// What stands in the line.
+        text: String,
     },
     /// A value makes no sense.
     #[error("{file}: {key} = {value}: expected {expected}")]
@@ -47,6 +51,18 @@
     },
 }
 
+impl Problem {
+    /// What TOML says of a text, on one line: it draws a picture of several.
+    pub fn form(file: &str, text: &str, error: &toml::de::Error) -> Self {
+        let at = error.span().map_or(0, |span| span.start);
+        let before = text.get(..at).unwrap_or(text);
+        let line = before.matches('\n').count();
+        let shown = text.lines().nth(line).unwrap_or_default().trim().chars().take(80).collect();
+        let what = error.message().lines().collect::<Vec<_>>().join(", ");
+        Problem::Form { file: file.into(), line: line + 1, what, text: shown }
+    }
+}
+
 /// An experiment.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -352,8 +368,8 @@
 
     /// Reads and checks the text of a file; `file` is what messages call it.
     pub fn parse(file: &str, text: &str) -> Result<Self, Problem> {
-        let form = |source| Problem::Form { file: file.to_string(), source: Box::new(source) };
-        let experiment: Experiment = toml::from_str(text).map_err(form)?;
+        let experiment: Experiment =
+            toml::from_str(text).map_err(|error| Problem::form(file, text, &error))?;
         match experiment.problem() {
             Some((key, value, expected)) => Err(Problem::Value { file: file.into(), key, value, expected }),
             None => Ok(experiment),
@@ -418,6 +434,8 @@
             let kinds = wanted.strategies();
             let known = kinds.iter().all(|kind| self.strategies.contains(kind));
             found.that("expect", wanted, known, "strategies that the file compares");
+            let late = !wanted.needs_late_seeing() || self.strategies.contains(&Kind::LateSeeing);
+            found.that("expect", wanted, late, "late-seeing among the strategies, against which floors are held");
             let classes: Vec<_> = self.classes.iter().map(|class| class.name.as_str()).collect();
             for group in wanted.groups() {
                 let (known, expected) = match group {
@@ -429,6 +447,7 @@
                         *number < self.clients.tenants,
                         format!("a tenant below clients.tenants, which is {}", self.clients.tenants),
                     ),
+                    Group::Third(_) => (true, String::new()),
                 };
                 found.that("expect", format!("{wanted} ({group})"), known, &expected);
             }
--- a/crates/lab/src/strategy/mod.rs
+++ b/crates/lab/src/strategy/mod.rs
@@ -4,13 +4,20 @@
 mod jut;
 mod members;
 mod plain;
+mod seeing;
 
-use hillpick::{Action, Balancer, Event, Settings};
+use hillpick::{Action, Balancer, Event, ServerId, Settings};
 pub use members::Found;
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 use std::fmt;
+use std::rc::Rc;
 use std::time::Duration;
 
+/// What is true of all servers, for who may see it: how long a request that comes now would take, in mean requests of a
+/// warm server that has nothing to do. Servers that answer nobody, or not from where the node is, are not on it.
+pub type Board = HashMap<ServerId, f64>;
+
 /// The decisions of one node. The same events give the same actions.
 pub trait Strategy {
     /// Takes in what happened at `now`, on the node's clock, and adds what is to be done to `actions`, in order.
@@ -25,6 +32,14 @@
     fn agrees(&mut self, _now: Duration) -> Option<(bool, u64)> {
         None
     }
+
+    /// Whether it is to see the truth, which no node can.
+    fn sees(&self) -> bool {
+        false
+    }
+
+    /// The truth as it was a moment ago.
+    fn see(&mut self, _board: &Rc<Board>) {}
 }
 
 impl Strategy for Balancer {
@@ -56,6 +71,8 @@
     RoundRobin,
     /// Of two random servers the one with fewer own requests in flight.
     LeastOfTwo,
+    /// The best by the true state of the servers, seen late: what floors are held against.
+    LateSeeing,
     /// Join-Up-To(m) as the paper defines it, with this m.
     Jut(u32),
 }
@@ -72,6 +89,7 @@
             "random" => Some(Kind::Random),
             "round-robin" => Some(Kind::RoundRobin),
             "least-of-two" => Some(Kind::LeastOfTwo),
+            "late-seeing" => Some(Kind::LateSeeing),
             _ => name.strip_prefix("jut-")?.parse().ok().filter(|m| (1..=1000).contains(m)).map(Kind::Jut),
         }
     }
@@ -91,6 +109,7 @@
             Kind::Random => Box::new(plain::Plain::new(settings, seed, plain::Random)),
             Kind::RoundRobin => Box::new(plain::Plain::new(settings, seed, plain::RoundRobin::default())),
             Kind::LeastOfTwo => Box::new(plain::Plain::new(settings, seed, plain::LeastOfTwo::default())),
+            Kind::LateSeeing => Box::new(seeing::Seeing::new(settings, seed)),
             Kind::Jut(m) => Box::new(plain::Plain::new(settings, seed, jut::JoinUpTo::new(m))),
         }
     }
@@ -107,6 +126,7 @@
             Kind::Random => out.write_str("random"),
             Kind::RoundRobin => out.write_str("round-robin"),
             Kind::LeastOfTwo => out.write_str("least-of-two"),
+            Kind::LateSeeing => out.write_str("late-seeing"),
             Kind::Jut(m) => write!(out, "jut-{m}"),
         }
     }
@@ -125,7 +145,7 @@
         Kind::named(&name).ok_or_else(|| {
             format!(
                 "{name:?} is no strategy: expected module, module+members, module+members-undoubting, module+zones, \
-                 zone-first, random, round-robin, least-of-two or jut-M with an M from 1 to 1000"
+                 zone-first, random, round-robin, least-of-two, late-seeing or jut-M with an M from 1 to 1000"
             )
         })
     }
--- a/crates/lab/tests/emulator.rs
+++ b/crates/lab/tests/emulator.rs
@@ -556,8 +556,14 @@
             vec!["faults[0].class", "q", "the name of a class"],
         ),
         ("[peers]\ndelay_ms = [3.0, 1.0]", vec!["peers.delay_ms", "the lower end first"]),
+        ("[clients]\nload = ", vec!["x.toml:7: ", "`load =`"]),
+        ("[clients]\nretries = -1", vec!["x.toml:7: ", "-1", "u32", "`retries = -1`"]),
+        ("expect = ['shine >= 1']", vec!["x.toml:6: ", "shine", "expected one of served"]),
+        ("strategies = ['random']", vec!["x.toml:6: ", "duplicate key"]),
+        ("[[classes]]\nshare = 1\nwork = 'fixed'\naim = 3\nrepeat = 'safe'", vec!["x.toml:6: ", "name"]),
     ] {
         let error = wrong(rest);
+        assert!(!error.contains('\n'), "on one line: {error:?}");
         assert!(error.starts_with("x.toml") && words.iter().all(|word| error.contains(word)), "{error}");
     }
     let expects = |what: &str| {
