Follow pushed and asked lists by one owner on one clock, and look once more before giving up

Where lists are asked for, a broken watch was opened anew when the module asked again, up to half of MustAskIn later: 30 s at a MustAskIn of 60 s, where a change counts as told after 6. Now one loop with one enum of states follows the watch in both modes; the module's order only begins it. Calls while discovery is down come every 1 to 2 s by chance.

A node that had no turn for the length of a call found its time over and gave the call up, though the answer lay in the kernel: the connection reads once more first. Seen to fail without it: what_comes_in_the_moment_of_giving_up_counts.

A backend that stops and starts in one list stood twice, and the last entry counted: now its later life does, in either order. Seen to fail without it: a_drain_and_a_new_start_in_one_list_leave_the_new_life.

--- a/src/bin/sillward/discovery/mod.rs
+++ b/src/bin/sillward/discovery/mod.rs
@@ -26,16 +26,19 @@
 use serde_json::Value;
 use silence::{FIRST_PAUSE, LASTED, SILENCE};
 use std::cell::Cell;
+use std::collections::HashMap;
+use std::future::{Future, pending, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::task::{JoinHandle, spawn_local, yield_now};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use versions::Versions;
 
 const LIST: &str = "/registry/instances";
@@ -158,90 +161,60 @@
                 ready.set(ready.get() || some);
             });
         }
-        if self.current.get().settings.list_on_request {
-            self.obey(orders).await;
-        } else {
-            self.follow().await;
-        }
-    }
-
-    /// Lists are pushed: watches for good. A broken watch is no news, the list stays as it is. Where discovery
-    /// has moved, the watch is taken up there at once.
-    async fn follow(&mut self) {
-        let (mut pause, mut moved) = (FIRST_PAUSE, self.address.clone());
-        loop {
-            let opened = Instant::now();
-            let broken = tokio::select! {
-                broken = self.watch() => broken,
-                Ok(()) = moved.changed() => {
-                    pause = FIRST_PAUSE;
-                    continue;
-                }
-            };
-            let lasted = opened.elapsed() > LASTED;
-            let longest = silence::longest_pause(self.grace());
-            pause = if lasted { FIRST_PAUSE } else { (pause * 2).min(longest) };
-            self.complain("the watch broke", broken);
-            if let Ok(Ok(())) = timeout(self.jittered(pause), moved.changed()).await {
-                pause = FIRST_PAUSE;
-            }
-        }
+        self.follow(orders).await;
     }
 
-    /// Lists must be asked for: the module says when. Every call that fails is told to it. It knows nothing of a move
-    /// of discovery: a watch that it wants is taken up there at once, whatever it was waiting for.
-    async fn obey(&mut self, mut orders: mpsc::Receiver<Order>) {
-        let (mut wanted, mut watching, mut moved) = (false, false, self.address.clone());
+    /// Lists that are pushed are watched for good, others from when the module asks on. A broken watch is no news: the
+    /// list stays as it is, and the watch is opened anew on the one clock, whoever wanted it. Where discovery has moved,
+    /// it is taken up there at once.
+    async fn follow(&mut self, mut orders: mpsc::Receiver<Order>) {
+        let asked = self.current.get().settings.list_on_request;
+        let (mut state, mut moved) =
+            (if asked { State::Unwanted } else { State::Open }, self.address.clone());
+        let mut pause = FIRST_PAUSE;
         loop {
-            let order = if watching {
-                match self.watch_until(&mut orders, &mut moved).await {
-                    Ended::Ordered(order) => order,
-                    Ended::Moved => continue,
-                    Ended::Broken(broken) => {
-                        self.complain("the watch broke", broken);
-                        watching = false;
-                        self.tell(ListKind::Failed, Vec::new()).await;
-                        continue;
-                    }
-                }
-            } else {
-                tokio::select! {
-                    order = orders.recv() => order,
-                    Ok(()) = moved.changed() => {
-                        watching = wanted;
-                        continue;
-                    }
-                }
+            let begun = Instant::now();
+            let wanted = !matches!(state, State::Unwanted);
+            let event = tokio::select! {
+                order = next_order(&mut orders, wanted) => Event::Ordered(order),
+                Ok(()) = moved.changed() => Event::Moved,
+                broken = self.pass(&state) => Event::Passed(broken),
             };
-            match order {
-                Some(Order::Subscribe(on)) => (wanted, watching) = (on, on),
-                Some(Order::Fetch) => {
+            state = match event {
+                Event::Ordered(Some(Order::Subscribe(true))) => State::Open,
+                Event::Ordered(Some(Order::Subscribe(false))) => State::Unwanted,
+                Event::Ordered(Some(Order::Fetch)) => {
                     if let Err(broken) = self.fetch().await {
                         self.complain("the list did not come", broken);
                         self.tell(ListKind::Failed, Vec::new()).await;
                     }
+                    state
                 }
-                None => return,
-            }
+                Event::Ordered(None) => return,
+                Event::Moved => {
+                    pause = FIRST_PAUSE;
+                    if wanted { State::Open } else { State::Unwanted }
+                }
+                Event::Passed(None) => State::Open,
+                Event::Passed(Some(broken)) => {
+                    let longest = silence::longest_pause(self.grace(), asked);
+                    let lasted = begun.elapsed() > LASTED;
+                    pause = if lasted { FIRST_PAUSE } else { (pause * 2).min(longest) };
+                    self.complain("the watch broke", broken);
+                    State::Rests(Instant::now() + self.jittered(pause))
+                }
+            };
         }
     }
 
-    /// A watch that is open needs no other one: the module asks again where no list has come, and none comes while
-    /// nothing changes.
-    async fn watch_until(
-        &mut self,
-        orders: &mut mpsc::Receiver<Order>,
-        moved: &mut watch::Receiver<SocketAddr>,
-    ) -> Ended {
-        let mut watch = pin!(self.watch());
-        loop {
-            tokio::select! {
-                order = orders.recv() => match order {
-                    Some(Order::Subscribe(true)) => {}
-                    order => return Ended::Ordered(order),
-                },
-                Ok(()) = moved.changed() => return Ended::Moved,
-                broken = &mut watch => return Ended::Broken(broken),
+    /// Until a state ends by itself: a watch that was open says why.
+    async fn pass(&mut self, state: &State) -> Option<String> {
+        match state {
+            State::Unwanted => pending().await,
+            State::Open => Some(self.watch().await),
+            State::Rests(until) => {
+                sleep_until(*until).await;
+                None
             }
         }
     }
@@ -266,8 +239,9 @@
 
     async fn fetch(&mut self) -> Result<(), String> {
         let (response, _connection) = self.get(LIST).await?;
-        let body = timeout(SILENCE, Limited::new(response.into_body(), LINE_LIMIT).collect()).await;
-        let body = body.map_err(|_| "silent")?.map_err(|e| e.to_string())?;
+        let whole = Limited::new(response.into_body(), LINE_LIMIT).collect();
+        let body = by(Instant::now() + SILENCE, whole).await;
+        let body = body.ok_or("silent")?.map_err(|e| e.to_string())?;
         self.take(&body.to_bytes(), Some(ListKind::Full)).await;
         Ok(())
     }
@@ -288,7 +262,7 @@
         loop {
             let silent = heard + SILENCE;
             let believed = self.versions.believed_at().filter(|at| refused && *at < silent);
-            let Ok(frame) = timeout_at(believed.unwrap_or(silent), body.frame()).await else {
+            let Some(frame) = by(believed.unwrap_or(silent), body.frame()).await else {
                 if believed.is_none() {
                     return Err("silent".to_owned());
                 }
@@ -335,7 +309,7 @@
                 status => Err(format!("answered {status}")),
             }
         };
-        timeout(silence::call(self.grace()), call).await.map_err(|_| "silent")?
+        by(Instant::now() + silence::call(self.grace()), call).await.ok_or("silent")?
     }
 
     /// Takes in a list. What is malformed is dropped, a line of it alone where the rest can be read.
@@ -354,6 +328,7 @@
                 Err(e) => log(format_args!("a malformed line of the list was dropped: {e}")),
             }
         }
+        keep_latest_lives(&mut backends);
         let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
         let kind = kind.unwrap_or(listed);
         let by_agent = kind != ListKind::Cached;
@@ -424,11 +399,60 @@
     News(bool),
 }
 
-/// Why a watch that is wanted has ended.
-enum Ended {
+/// A backend that stopped and started again since the list before may stand twice, in any order: its later life counts,
+/// and of one life what stands last.
+fn keep_latest_lives(backends: &mut Vec<Backend>) {
+    let mut latest = HashMap::new();
+    for (place, Backend { entry, .. }) in backends.iter().enumerate() {
+        let held = latest.entry(entry.id).or_insert((entry.started, place));
+        *held = (*held).max((entry.started, place));
+    }
+    let mut places = 0..;
+    backends.retain(|backend| latest.get(&backend.entry.id).map(|(_, place)| *place) == places.next());
+}
+
+/// How the watch stands.
+enum State {
+    /// The module has not asked for lists yet.
+    Unwanted,
+    /// From its call on.
+    Open,
+    /// It broke, and is opened anew then.
+    Rests(Instant),
+}
+
+/// What ends a state.
+enum Event {
     Ordered(Option<Order>),
     Moved,
-    Broken(String),
+    /// It ended by itself; why, if it was a watch.
+    Passed(Option<String>),
+}
+
+/// The next order that changes something: the module asks again where no list has come, and none comes while nothing
+/// changes.
+async fn next_order(orders: &mut mpsc::Receiver<Order>, wanted: bool) -> Option<Order> {
+    loop {
+        match orders.recv().await {
+            Some(Order::Subscribe(on)) if on == wanted => {}
+            order => return order,
+        }
+    }
+}
+
+/// Waits until then. A node that had no turn for a while finds the time over and the answer in the kernel: what is there
+/// is looked at before anything is given up.
+async fn by<T>(until: Instant, future: impl Future<Output = T>) -> Option<T> {
+    let mut future = pin!(future);
+    if let Ok(done) = timeout_at(until, future.as_mut()).await {
+        return Some(done);
+    }
+    yield_now().await; // the connection reads
+    poll_fn(|cx| match future.as_mut().poll(cx) {
+        Poll::Ready(done) => Poll::Ready(Some(done)),
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
 }
 
 /// A backend's number: made from its name alone, so that it is the same at every node (FNV-1a).
--- a/src/bin/sillward/discovery/silence.rs
+++ b/src/bin/sillward/discovery/silence.rs
@@ -17,6 +17,9 @@
 /// Less would give up calls of a node that waits for its share of a core.
 const SHORTEST_CALL: Duration = Duration::from_millis(250);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Where lists must be asked for each call is priced, and what the agent gets does not count at once but 6 s later. A watch
+/// that is silent when discovery returns and this pause, or a call and this pause, are over before that.
+const LONGEST_ASKED_PAUSE: Duration = Duration::from_secs(2);
 
 /// How long a call may take.
 ///
@@ -29,7 +32,10 @@
 
 /// The longest pause between calls that fail, before it is cut by chance to half at the least. A node whose agent
 /// refuses calls 4 times a second at a grace of 2 s, one whose agent says nothing once.
-pub fn longest_pause(grace: Duration) -> Duration {
+pub fn longest_pause(grace: Duration, asked: bool) -> Duration {
+    if asked {
+        return LONGEST_ASKED_PAUSE;
+    }
     if grace.is_zero() { LONGEST_PAUSE } else { (grace / 4).clamp(FIRST_PAUSE, LONGEST_PAUSE) }
 }
 
@@ -41,10 +47,10 @@
     fn a_call_and_its_pause_leave_a_quarter_of_the_grace() {
         for ms in [500, 700, 1_000, 2_000, 5_000, 60_000] {
             let grace = Duration::from_millis(ms);
-            assert!(call(grace) + longest_pause(grace) <= grace * 3 / 4, "{grace:?}");
+            assert!(call(grace) + longest_pause(grace, false) <= grace * 3 / 4, "{grace:?}");
         }
         for grace in [Duration::ZERO, Duration::from_millis(1)] {
-            assert!(call(grace) >= SHORTEST_CALL && longest_pause(grace) >= FIRST_PAUSE, "{grace:?}");
+            assert!(call(grace) >= SHORTEST_CALL && longest_pause(grace, false) >= FIRST_PAUSE, "{grace:?}");
         }
     }
 
@@ -52,5 +58,8 @@
     fn a_third_watch_opens_before_what_two_have_missed_counts() {
         assert!(2 * (SILENCE + FIRST_PAUSE) < Duration::from_secs(6));
         assert!(SILENCE > Duration::from_secs(2), "an empty line is in time");
+        // Wherever a return of discovery finds the node, with as much left for the call that is answered.
+        let worst = SILENCE.max(LONGEST_CALL) + longest_pause(Duration::ZERO, true);
+        assert!(worst + LONGEST_CALL < Duration::from_secs(6), "{worst:?}");
     }
 }
--- a/src/bin/sillward/discovery/tests.rs
+++ b/src/bin/sillward/discovery/tests.rs
@@ -5,7 +5,8 @@
 use crate::messages::News;
 use std::cell::RefCell;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
-use tokio::task::{LocalSet, yield_now};
+use tokio::task::LocalSet;
+use tokio::time::timeout;
 
 const SETTINGS: &str = r#"{"Localities":["a"],"HostTypes":["m"],"Permissions":{"AttemptsCap":2},MODE
     "Rules":{"DrainGrace":GRACE,"MustAskIn":10000},
@@ -78,7 +79,10 @@
 
 impl Rig {
     fn start(mode: &str, down: bool) -> Self {
-        let settings = SETTINGS.replace("MODE", mode).replace("GRACE", &GRACE.as_millis().to_string());
+        Rig::with_grace(mode, GRACE, down)
+    }
+    fn with_grace(mode: &str, grace: Duration, down: bool) -> Self {
+        let settings = SETTINGS.replace("MODE", mode).replace("GRACE", &grace.as_millis().to_string());
         let config = format!(
             r#"{{"listen":"127.0.0.1:1","discovery":"{OLD}","seed":"7","limits":{{"sockets":512}},"settings":{settings}}}"#
         );
@@ -220,6 +224,177 @@
     }
 }
 
+/// How a call goes before discovery can be reached.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Bad {
+    Refused,
+    /// Nothing comes of it.
+    Silent,
+    /// A head, and then nothing.
+    Mute,
+    /// Half a value, and then nothing.
+    Half,
+    /// It ends after its head.
+    Ended,
+    /// An answer that is none.
+    Failed,
+}
+
+/// Plays bad calls of these kinds, in turn, until `back`; returns the first call that finds discovery there.
+async fn bad_calls(rig: &mut Rig, kinds: &[Bad], back: Duration) -> Call {
+    let mut held = Vec::new();
+    for kind in kinds.iter().cycle() {
+        rig.down.set(*kind == Bad::Refused);
+        let until = rig.begun + back;
+        let mut call = if *kind == Bad::Refused {
+            let before = rig.refused.borrow().len();
+            while rig.refused.borrow().len() == before && Instant::now() < until {
+                sleep(Duration::from_millis(1)).await;
+            }
+            rig.down.set(false);
+            if Instant::now() < until {
+                continue;
+            }
+            return rig.call().await;
+        } else {
+            rig.call().await
+        };
+        if call.at >= back {
+            return call;
+        }
+        match kind {
+            Bad::Refused | Bad::Silent => {}
+            Bad::Mute => drop(call.open().await),
+            Bad::Half => {
+                call.open().await;
+                call.write(r#"{"index":9,"snapshot":true,"endpo"#).await;
+            }
+            Bad::Ended => {
+                call.open().await;
+                continue; // dropped, and so closed
+            }
+            Bad::Failed => {
+                call.start().await;
+                let no = b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n";
+                call.pipe.write_all(no).await.expect("the node listens");
+            }
+        }
+        held.push(call);
+    }
+    unreachable!("kinds go round")
+}
+
+/// Whatever bad calls came before, in whatever order, and wherever among them discovery returns: a call that is answered
+/// begins so early that its list is there before what it tells binds, however short the grace.
+#[test]
+fn after_any_bad_calls_a_list_comes_within_the_clock() {
+    use Bad::*;
+    let kinds = [Refused, Silent, Mute, Half, Ended, Failed];
+    let mut random = Pcg32::seed_from_u64(22);
+    for round in 0..120 {
+        let some: Vec<_> = match round {
+            0..6 => vec![kinds[round]],
+            _ => (0..2 + random.next_u32() % 4).map(|_| kinds[random.next_u32() as usize % 6]).collect(),
+        };
+        let back = Duration::from_millis(u64::from(8_000 + random.next_u32() % 8_000));
+        let grace = Duration::from_millis([0, 250, 700, 2_000][random.next_u32() as usize % 4]);
+        for mode in ["", r#""RegistryMode":"ask","#] {
+            played(async || {
+                let mut rig = Rig::with_grace(mode, grace, false);
+                rig.orders.send(Order::Subscribe(true)).await.expect("it obeys");
+                let mut call = bad_calls(&mut rig, &some, back).await;
+                call.open().await;
+                call.write(&list(9, true, &[entry("s-0", "terminating", 0)])).await;
+                assert_eq!(rig.told().await, (ListKind::Full, vec![ServerState::Draining]), "{some:?}");
+                let late = rig.begun.elapsed() - back;
+                assert!(late < Duration::from_secs(6), "{some:?}, {grace:?}, {mode}: {late:?}");
+                // Nobody calls without end meanwhile, and nodes that broke together do not call together.
+                let calls = rig.refused.borrow().len();
+                let most = if mode.is_empty() { 20 } else { 2 };
+                assert!(calls as f64 <= 8.0 + f64::from(most) * back.as_secs_f64(), "{some:?}: {calls}");
+            });
+        }
+    }
+}
+
+/// Where lists are asked for, the node calls seldom while discovery is down, and by chance.
+#[test]
+fn who_asks_for_lists_calls_seldom_while_discovery_is_down() {
+    played(async || {
+        let rig = Rig::start(r#""RegistryMode":"ask","#, true);
+        rig.orders.send(Order::Subscribe(true)).await.expect("it obeys");
+        sleep(Duration::from_secs(60)).await;
+        let at = rig.refused.borrow().clone();
+        let gaps: Vec<_> = at.windows(2).map(|two| ms(two[1] - two[0])).collect();
+        assert!((30..=65).contains(&gaps.len()), "{gaps:?}");
+        assert!(gaps[8..].iter().all(|gap| (1_000..=2_001).contains(gap)), "{gaps:?}");
+        assert!(gaps[8..].iter().any(|gap| *gap < 1_400) && gaps[8..].iter().any(|gap| *gap > 1_600));
+    });
+}
+
+/// Both come in one turn: the answer is not given up, nor is a watch that has just spoken.
+#[test]
+fn what_comes_in_the_moment_of_giving_up_counts() {
+    // The node's timer was set first; or the agent's, a hair before.
+    for hair in [Duration::ZERO, Duration::from_micros(1)] {
+        played(async || {
+            let mut rig = Rig::start("", false);
+            let mut call = rig.call().await;
+            sleep(GRACE / 2 - hair).await;
+            call.open().await;
+            call.write("\n").await;
+            sleep(SILENCE - hair).await;
+            call.write(&list(9, true, &[entry("s-0", "in_service", 0)])).await;
+            assert_eq!(rig.told().await, (ListKind::Full, vec![ServerState::Ready]), "{hair:?}");
+            assert!(rig.calls.try_recv().is_err(), "{hair:?}: the first call holds");
+        });
+    }
+}
+
+#[test]
+fn a_call_that_was_given_up_is_answered_in_vain() {
+    played(async || {
+        let mut rig = Rig::start("", false);
+        let mut first = rig.call().await;
+        first.start().await;
+        let mut second = rig.call().await;
+        // The first one's answer comes at last, before the second's and with what is older.
+        let late = first.pipe.write_all(HEAD.as_bytes()).await;
+        assert!(late.is_err(), "it is closed");
+        second.open().await;
+        second.write(&list(9, true, &[entry("s-0", "terminating", 0)])).await;
+        assert_eq!(rig.told().await, (ListKind::Full, vec![ServerState::Draining]));
+        assert!(rig.news.try_recv().is_err());
+    });
+}
+
+/// The value, then the reset: in one turn, or the reset once the value has been taken in.
+#[test]
+fn a_last_value_counts_whatever_ends_its_watch() {
+    for apart in [false, true] {
+        played(async || {
+            let mut rig = Rig::start("", false);
+            let mut call = rig.call().await;
+            call.open().await;
+            call.write(&list(9, true, &[entry("s-0", "in_service", 0)])).await;
+            rig.told().await;
+            // What falls into the gap between two watches is told by the next.
+            call.write(&list(10, false, &[entry("s-0", "terminating", 0)])).await;
+            if apart {
+                assert_eq!(rig.told().await.1, vec![ServerState::Draining]);
+            }
+            drop(call);
+            if !apart {
+                assert_eq!(rig.told().await.1, vec![ServerState::Draining]);
+            }
+            let mut next = rig.call().await;
+            assert!(next.open().await.contains("index=10 "), "the last value counts");
+            next.write(&list(11, false, &[entry("s-0", "terminated", 0)])).await;
+            assert_eq!(rig.told().await, (ListKind::Changes, vec![ServerState::Gone]));
+        });
+    }
+}
+
 // ---- Moves --------------------------------------------------------------------------------------
 
 #[test]
@@ -271,6 +446,62 @@
     });
 }
 
+/// Discovery is back at the instant in which it moves, and the old address answers after the new one.
+#[test]
+fn a_move_in_the_instant_of_a_return_is_followed_and_the_old_address_says_nothing_more() {
+    for mode in ["", r#""RegistryMode":"ask","#] {
+        for moved_first in [false, true] {
+            played(async || {
+                let mut rig = Rig::start(mode, true);
+                rig.orders.send(Order::Subscribe(true)).await.expect("it obeys");
+                sleep(Duration::from_millis(7_321)).await;
+                let back = rig.begun.elapsed();
+                let old = if moved_first {
+                    rig.moved.send(NEW.parse().expect("an address")).expect("it listens");
+                    rig.down.set(false);
+                    None
+                } else {
+                    rig.down.set(false);
+                    let old = rig.call().await; // it is out when the move comes
+                    rig.moved.send(NEW.parse().expect("an address")).expect("it listens");
+                    Some(old)
+                };
+                let mut new = rig.call().await;
+                assert_eq!(new.to, NEW.parse().unwrap());
+                assert!(new.at - back <= Duration::from_secs(2), "{:?}", new.at - back);
+                new.open().await;
+                new.write(&list(9, true, &[entry("s-0", "terminating", 0)])).await;
+                assert_eq!(rig.told().await, (ListKind::Full, vec![ServerState::Draining]));
+                if let Some(mut old) = old {
+                    let _ = old.pipe.write_all(HEAD.as_bytes()).await;
+                    assert!(old.pipe.write_all(b"x").await.is_err(), "it is closed");
+                }
+                sleep(Duration::from_secs(1)).await;
+                assert!(rig.news.try_recv().is_err());
+            });
+        }
+    }
+}
+
+/// A backend stops and starts again between two values: the list has both, in either order, and the later life counts.
+#[test]
+fn a_drain_and_a_new_start_in_one_list_leave_the_new_life() {
+    let (stops, starts) = (entry("s-0", "terminating", 5), entry("s-0", "in_service", 9));
+    for both in [[stops.clone(), starts.clone()], [starts, stops]] {
+        played(async || {
+            let mut rig = Rig::start("", false);
+            let mut call = rig.call().await;
+            call.open().await;
+            call.write(&list(8, true, &[entry("s-0", "in_service", 5)])).await;
+            rig.told().await;
+            call.write(&list(9, false, &both)).await;
+            let told = rig.news().await.backends;
+            let told: Vec<_> = told.iter().map(|b| (b.entry.state, b.entry.started)).collect();
+            assert_eq!(told, [(ServerState::Ready, Some(Duration::from_millis(9)))]);
+        });
+    }
+}
+
 // ---- Versions -----------------------------------------------------------------------------------
 
 #[test]
