Ask the kernel whether a client is still there before the first byte of an attempt

A client's leaving reached the node when the runtime next read its connection, and queued there behind other news; while part of a further request lay unread the runtime did not read at all, and never saw the end. Attempts began for clients that had left.

Presence asks the kernel (a peek, and poll for an end behind unread bytes); the pool does so when an attempt has its connection. Requester is the one place that tells the node of a leaving, once, through the place kept in its queue, ahead of the attempt's end; a client so found is written nothing.

TCP_NODELAY now comes from one file for every socket; connections to discovery had none.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -7,6 +7,7 @@
 use crate::line::{Habit, Line, Standing};
 use crate::log::log;
 use crate::messages::{Attempt, Backend, Ended, Message, Started, Stop};
+use crate::tcp;
 use bytes::{Bytes, BytesMut};
 use hillpick::settings::Column;
 use hillpick::{ListKind, LoadReport, Outcome, ReportSource, ServerId, ServerState};
@@ -21,7 +22,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{timeout, timeout_at};
@@ -279,10 +279,9 @@
     ) -> Delivery {
         let standing = Standing::new(habit);
         let connected =
-            timeout(self.current.get().settings.limits.connect_timeout, TcpStream::connect(address)).await;
+            timeout(self.current.get().settings.limits.connect_timeout, tcp::connect(address)).await;
         let opened = match connected {
             Ok(Ok(stream)) => {
-                let _ = stream.set_nodelay(true);
                 let stream = TokioIo::new(Line::new(stream, standing.clone()));
                 let opened = http1::Builder::new().max_buf_size(READ_BUFFER).handshake(stream);
                 opened.await.map_err(|_| Outcome::ConnectFailed)
@@ -448,7 +447,7 @@
     }
 
     /// The request as it is written now, if it may still be: not past its time, the backend's grace or the
-    /// window in which backends drop its repeats, and not once it has its answer.
+    /// window in which backends drop its repeats, and not once it has its answer or its client has left.
     fn request(&self, attempt: &Attempt) -> Option<Request<Outgoing>> {
         let (now, forward) = (self.clock.now(), &attempt.forward);
         let places = self.places.borrow();
@@ -456,7 +455,7 @@
         let forgotten =
             forward.window.zip(forward.first_byte.get()).is_some_and(|(w, first)| now >= first + w);
         let drained = place.told.is_some_and(|told| now >= told + self.drain_grace());
-        if forward.over.get() || now >= attempt.until || drained || forgotten {
+        if forward.over.get() || now >= attempt.until || drained || forgotten || forward.client.has_left() {
             return None;
         }
         // Where the body still comes, the time begins with its last byte.
--- a/src/bin/sillward/backend/tests.rs
+++ b/src/bin/sillward/backend/tests.rs
@@ -6,7 +6,7 @@
 use hillpick::RequestId;
 use hillpick::ServerEntry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 
 const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
@@ -49,6 +49,7 @@
         window: Some(MINUTE),
         first_byte: Cell::new(None),
         over: Cell::new(false),
+        client: Rc::default(),
     };
     Attempt { id: RequestId(1), number: 0, server: SERVER, until: now + MINUTE, forward: Rc::new(forward) }
 }
--- a/src/bin/sillward/client.rs
+++ b/src/bin/sillward/client.rs
@@ -1,6 +1,7 @@
 //! A client's connection as it stands: when bytes moved on it, and whether it holds a request.
 
 use crate::body::SILENCE;
+use crate::presence::Presence;
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -24,6 +25,7 @@
     /// It is to make room, and has been told so.
     pub shed: Cell<bool>,
     pub close: Notify,
+    pub presence: Presence,
 }
 
 /// What is to be done about a connection that sends nothing.
@@ -48,7 +50,7 @@
 }
 
 impl Client {
-    pub fn new() -> Self {
+    pub fn new(presence: Presence) -> Self {
         let now = Instant::now();
         Client {
             connected: now,
@@ -58,6 +60,7 @@
             moved: Cell::new(now),
             shed: Cell::new(false),
             close: Notify::new(),
+            presence,
         }
     }
 
--- a/src/bin/sillward/discovery/mod.rs
+++ b/src/bin/sillward/discovery/mod.rs
@@ -10,6 +10,7 @@
 use crate::config::{Config, Current};
 use crate::log::log;
 use crate::messages::{Backend, Message, News, Order};
+use crate::tcp;
 use bytes::Bytes;
 use hillpick::settings::millis;
 use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
@@ -93,7 +94,7 @@
 impl Dial for Tcp {
     type Stream = TcpStream;
     async fn dial(&self, address: SocketAddr) -> io::Result<TcpStream> {
-        TcpStream::connect(address).await
+        tcp::connect(address).await
     }
 }
 
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -7,7 +7,9 @@
 use crate::handover::Pair;
 use crate::lifecycle::{ACCEPT_ON, LAST_WORDS, Lifecycle, Phase, State};
 use crate::log::log;
-use crate::messages::{Answer, Content, Forward, Message, Taken};
+use crate::messages::{Answer, Content, Forward, Message, Requester, Taken};
+use crate::presence::Presence;
+use crate::tcp;
 use crate::watched::Watched;
 use bytes::{Bytes, BytesMut};
 use hillpick::settings::Site;
@@ -22,7 +24,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::convert::Infallible;
+use std::fmt;
 use std::future::{Future, poll_fn};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
@@ -252,8 +254,8 @@
     }
 
     fn serve(self: &Rc<Self>, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
-        let client = Rc::new(Client::new());
+        let stream = Rc::new(RefCell::new(tcp::undelayed(stream)));
+        let client = Rc::new(Client::new(Presence::of(&stream)));
         let number = self.next();
         self.clients.borrow_mut().insert(number, client.clone());
         let front = self.clone();
@@ -309,18 +311,16 @@
         self.numbers.get()
     }
 
-    async fn respond(
-        self: Rc<Self>,
-        client: Rc<Client>,
-        request: Request<Incoming>,
-    ) -> Result<Reply, Infallible> {
+    async fn respond(self: Rc<Self>, client: Rc<Client>, request: Request<Incoming>) -> Result<Reply, Left> {
         client.idle.set(None);
         client.begun.set(None);
         let first = !client.asked.replace(true);
         let since = if first { client.connected } else { Instant::now() };
+        let presence = client.presence.clone();
         let mut busy = Some(Busy(client, self.clone()));
-        let mut response = match self.handle(request, Patience::until(since + READ_TIMEOUT)).await {
-            Ok(response) => response,
+        let handled = self.handle(request, Patience::until(since + READ_TIMEOUT), presence).await;
+        let mut response = match handled {
+            Ok(response) => response.ok_or(Left)?,
             Err((status, text)) => plain(status, Bytes::from_static(text.as_bytes())),
         };
         if let Either::Right(download) = response.body_mut() {
@@ -332,7 +332,13 @@
         Ok(response)
     }
 
-    async fn handle(&self, request: Request<Incoming>, mut patience: Patience) -> Result<Reply, Bad> {
+    /// Nothing if its client has left.
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        mut patience: Patience,
+        presence: Presence,
+    ) -> Result<Option<Reply>, Bad> {
         let (head, body) = request.into_parts();
         // The settings may change while the body comes: it is under those that held when it began.
         let site = self.current.get();
@@ -341,7 +347,7 @@
         if head.uri.path() == "/health/ready" {
             let ready = self.node.ready.get() && !self.node.lifecycle.now().drains();
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            return Ok(plain(status, Bytes::new()));
+            return Ok(Some(plain(status, Bytes::new())));
         }
         let checked = self.check(&site, head, body.is_empty() && rest.is_none(), at);
         let (mut new, mut forward) = match checked {
@@ -357,7 +363,7 @@
         // The places for later news are kept now: neither a drop nor a body that is read can wait for one.
         let place = async || self.messages.clone().reserve_owned().await;
         let (Ok(left), Ok(arrived), Ok(place)) = (place().await, place().await, place().await) else {
-            return Ok(plain(StatusCode::BAD_GATEWAY, Bytes::new()));
+            return Ok(Some(plain(StatusCode::BAD_GATEWAY, Bytes::new())));
         };
         let mut unread = None;
         forward.body = match rest {
@@ -383,10 +389,15 @@
             let tenant = site.tenant_names.get(new.tenant);
             new.tenant = tenant.map_or(0, |name| position(&present.tenant_names, name).unwrap_or(usize::MAX));
         }
-        let mut gone = Gone { id: new.id, place: Some(left) };
+        let client = Rc::new(Requester::new(new.id, presence, left));
+        forward.client = client.clone();
+        let gone = Gone(client);
         place.send(Message::Request(Box::new(Taken { new, at, forward, reply })));
-        let answer = answer.await.unwrap_or(Answer::Failed);
-        gone.place = None;
+        let answer = match (answer.await, gone.0.finish()) {
+            (Ok(answer), _) => answer,
+            (Err(_), true) => Answer::Failed,
+            (Err(_), false) => return Ok(None), // an attempt saw it before the runtime did
+        };
         if let Some(unread) = unread {
             // An answer over a body that is still being sent would end as a reset.
             spawn_local(async move {
@@ -395,7 +406,7 @@
                 }
             });
         }
-        Ok(match answer {
+        Ok(Some(match answer {
             Answer::Served(body) => plain(StatusCode::OK, body),
             Answer::Serving(length, pieces) => {
                 Response::new(Either::Right(Download { pieces, length, lasts: None }))
@@ -410,7 +421,7 @@
             }
             Answer::Failed => plain(StatusCode::BAD_GATEWAY, Bytes::new()),
             Answer::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
-        })
+        }))
     }
 
     /// Reads a request as the protocol words it. What does not fit never reaches a backend.
@@ -477,6 +488,7 @@
             room: None,
             first_byte: Cell::new(None),
             over: Cell::new(false),
+            client: Rc::default(),
         };
         Ok((new, forward))
     }
@@ -516,19 +528,26 @@
 }
 
 /// A client that leaves drops the future that serves it, and this with it.
-struct Gone {
-    id: RequestId,
-    place: Option<mpsc::OwnedPermit<Message>>,
-}
+struct Gone(Rc<Requester>);
 
 impl Drop for Gone {
     fn drop(&mut self) {
-        if let Some(place) = self.place.take() {
-            place.send(Message::ClientGone(self.id));
-        }
+        self.0.leave();
     }
 }
 
+/// A client that has left is written nothing: its connection ends.
+#[derive(Debug)]
+struct Left;
+
+impl fmt::Display for Left {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str("the client has left")
+    }
+}
+
+impl std::error::Error for Left {}
+
 /// Reads a body to its end for nobody, as far as one may go, so that its sender sees the answer and not a reset.
 async fn read_out(mut body: Incoming, mut patience: Patience) {
     let mut length = 0;
@@ -564,5 +583,7 @@
     response
 }
 
+#[cfg(test)]
+mod leaving;
 #[cfg(test)]
 mod tests;
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -18,6 +18,8 @@
 mod node;
 mod ops;
 mod peers;
+mod presence;
+mod tcp;
 mod watched;
 
 use clock::Clock;
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -1,6 +1,7 @@
 //! What the rooms of the node tell one another: types alone, below all that use them.
 
 use crate::body::{Outgoing, Piece, Upload};
+use crate::presence::Presence;
 use bytes::Bytes;
 use hillpick::settings::Site;
 use hillpick::{ListKind, LoadReport, NewRequest, Outcome, RequestId, ServerEntry, ServerId, Tier, ZoneView};
@@ -114,6 +115,42 @@
     }
 }
 
+/// The client of a request, until that has its final answer. Whoever finds that it has left, its connection or an attempt,
+/// says so here: the node is told once, ahead of all that comes of it.
+#[derive(Default)]
+pub struct Requester {
+    id: RequestId,
+    presence: Presence,
+    /// The place for that news in the node's queue, kept from the start.
+    place: Cell<Option<mpsc::OwnedPermit<Message>>>,
+}
+
+impl Requester {
+    pub fn new(id: RequestId, presence: Presence, place: mpsc::OwnedPermit<Message>) -> Self {
+        Requester { id, presence, place: Cell::new(Some(place)) }
+    }
+
+    /// Asks the kernel.
+    pub fn has_left(&self) -> bool {
+        let left = self.presence.has_left();
+        if left {
+            self.leave();
+        }
+        left
+    }
+
+    pub fn leave(&self) {
+        if let Some(place) = self.place.take() {
+            place.send(Message::ClientGone(self.id));
+        }
+    }
+
+    /// It has its final answer, and there is nothing more to tell. False if its leaving was told.
+    pub fn finish(&self) -> bool {
+        self.place.take().is_some()
+    }
+}
+
 /// What all attempts of a request share: what goes on unchanged, and what binds them.
 pub struct Forward {
     pub method: Method,
@@ -132,6 +169,7 @@
     pub first_byte: Cell<Option<Duration>>,
     /// It has its final answer, or its client has left: nothing more is sent for it.
     pub over: Cell<bool>,
+    pub client: Rc<Requester>,
 }
 
 /// An attempt to be made.
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -412,6 +412,7 @@
             window: None,
             first_byte: Cell::new(None),
             over: Cell::new(false),
+            client: Rc::default(),
         };
         let (reply, answer) = oneshot::channel();
         node.take(Message::Request(Box::new(Taken { new, at, forward, reply })));
--- a/src/bin/sillward/ops.rs
+++ b/src/bin/sillward/ops.rs
@@ -5,6 +5,7 @@
 use crate::log::log;
 use crate::messages::{Evacuation, Message, ZoneTold};
 use crate::peers::View;
+use crate::tcp;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -113,12 +114,12 @@
     }
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
         let service = service_fn(|request| self.answer(request));
         let mut server = http1::Builder::new();
         let server = server.keep_alive(false).max_buf_size(BUFFER);
         // What is no HTTP is answered by hyper, and what is no whole call just ends.
-        let _ = timeout(CALL_TIMEOUT, server.serve_connection(TokioIo::new(stream), service)).await;
+        let _ = timeout(CALL_TIMEOUT, server.serve_connection(TokioIo::new(tcp::undelayed(stream)), service))
+            .await;
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
--- a/src/bin/sillward/watched.rs
+++ b/src/bin/sillward/watched.rs
@@ -1,6 +1,7 @@
 //! A client's stream that tells when bytes move on it: only so a slow head can be told from an idle connection.
 
 use crate::client::Client;
+use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -9,12 +10,12 @@
 use tokio::net::TcpStream;
 
 pub struct Watched {
-    stream: TcpStream,
+    stream: Rc<RefCell<TcpStream>>,
     client: Rc<Client>,
 }
 
 impl Watched {
-    pub fn new(stream: TcpStream, client: Rc<Client>) -> Self {
+    pub fn new(stream: Rc<RefCell<TcpStream>>, client: Rc<Client>) -> Self {
         Watched { stream, client }
     }
 
@@ -26,12 +27,12 @@
 
 impl AsyncRead for Watched {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buffer))?;
         if buffer.filled().len() > before {
             self.client.read();
         }
@@ -40,29 +41,29 @@
 }
 
 impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes))?;
         self.written(written)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         pieces: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, pieces))?;
+        let written = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, pieces))?;
         self.written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
--- a/tests/crossings/client_gone.rs
+++ b/tests/crossings/client_gone.rs
@@ -1,1 +1,115 @@
 //! A client that leaves, against the attempts made for it.
+
+use crate::sockets::*;
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+const LONG: u64 = 20_000;
+
+fn rejected() -> Reply {
+    Reply::Answer("503 Busy", "X-Rejected: 1\r\n", vec![])
+}
+
+fn is_held(message: &Message) -> bool {
+    message.start.contains("/held")
+}
+
+/// Two backends that turn away who asks for `/read/held`, each once it holds a count of them that the gate lets through.
+struct Gate {
+    backends: [Backend; 2],
+    held: Arc<AtomicUsize>,
+    gate: Arc<Mutex<()>>,
+}
+
+impl Gate {
+    fn start() -> Self {
+        let (held, gate) = (Arc::new(AtomicUsize::new(0)), Arc::new(Mutex::new(())));
+        let backends = [0, 1].map(|_| {
+            let (held, gate) = (held.clone(), gate.clone());
+            Backend::start(move |message| {
+                if !is_held(message) {
+                    return ok("");
+                }
+                held.fetch_add(1, Ordering::SeqCst);
+                drop(gate.lock().expect("the gate"));
+                rejected()
+            })
+        });
+        Gate { backends, held, gate }
+    }
+
+    fn held(&self) -> usize {
+        self.held.load(Ordering::SeqCst)
+    }
+}
+
+fn ask_held(node: &Node) -> Client {
+    let mut client = node.client();
+    client.send("GET /read/held", &common(LONG), b"");
+    client
+}
+
+/// Enough requests that whatever the node would do by itself it has done.
+fn others_are_served(node: &Node) {
+    let mut other = node.client();
+    for _ in 0..50 {
+        until(|| other.read().status() == 200, "service");
+    }
+}
+
+/// Part of another request hides the end from the runtime; the attempt asks the kernel.
+#[test]
+fn who_leaves_behind_half_a_request_gets_no_further_attempt() {
+    for half in [false, true] {
+        let gate = Gate::start();
+        let (node, _watch, _discovery) = serving(&settings(LONG, ""), &gate.backends.each_ref());
+        others_are_served(&node);
+        let closed = gate.gate.lock().expect("the gate");
+        let mut client = ask_held(&node);
+        until(|| gate.held() == 1, "the first attempt");
+        client.write(b"GET /re");
+        let stream = client.sender();
+        if half {
+            stream.shutdown(Shutdown::Write).expect("it is open");
+        }
+        drop(stream);
+        let kept = half.then_some(client);
+        drop(closed);
+        others_are_served(&node);
+        assert_eq!(gate.held(), 1, "half {half}");
+        // It is not answered: its end counts as a close.
+        assert!(kept.is_none_or(|mut client| client.rest().is_empty()));
+    }
+}
+
+/// The node stands still while hundreds leave, and while what they wait for comes.
+#[test]
+fn a_burst_that_leaves_while_the_node_has_no_turn_gets_no_attempt() {
+    const CROWD: usize = 200;
+    for first in [true, false] {
+        let gate = Gate::start();
+        let (node, _watch, _discovery) = serving(&settings(LONG, ""), &gate.backends.each_ref());
+        others_are_served(&node);
+        let closed = gate.gate.lock().expect("the gate");
+        let crowd: Vec<Client> = (0..CROWD).map(|_| ask_held(&node)).collect();
+        until(|| gate.held() > 0, "an attempt");
+        node.stand_still(true);
+        let before = gate.held();
+        if first {
+            drop(crowd);
+            drop(closed);
+        } else {
+            drop(closed);
+            drop(crowd);
+        }
+        node.stand_still(false);
+        others_are_served(&node);
+        // What it had written before it stood still may have reached a backend later.
+        until(|| gate.held() >= before, "what was on its way");
+        let after = gate.held();
+        others_are_served(&node);
+        assert_eq!(gate.held(), after, "leaves first: {first}");
+        assert!(after <= before + 2, "{before} before, {after} after; leaves first: {first}");
+    }
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -422,6 +422,11 @@
         self.signal("-HUP");
     }
 
+    /// It gets no turn, until it does again.
+    pub fn stand_still(&self, still: bool) {
+        self.signal(if still { "-STOP" } else { "-CONT" });
+    }
+
     fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().expect("kill runs").success());
