Ask for a list within the 6 s after which it counts as told, whatever MustAskIn says

The first call came up to a quarter of MustAskIn after the start, and calls after failures up to half of it: 150 s and 300 s at a MustAskIn of 600 s. A MustAskIn of 0 set a timer of 0 and turned for ever. Now both go by 6 s at the most, and the timer fires once a millisecond at most.

--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -5,6 +5,11 @@
 use crate::state::{Balancer, Server, margin};
 use std::time::Duration;
 
+/// What discovery has counts as told after so long at the latest, whatever the settings allow between calls.
+const TOLD_AFTER: Duration = Duration::from_secs(6);
+/// The timer has a 64th of the time between calls, and fires once a millisecond at most.
+const LEAST_WITHIN: Duration = Duration::from_millis(64);
+
 /// A server's place on the ring: multiplied by the golden ratio's part of 2^64, neighbouring ids fall apart.
 fn scatter(id: ServerId) -> u64 {
     id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15)
@@ -13,7 +18,7 @@
 impl Balancer {
     pub(super) fn on_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
         if kind == ListKind::Failed {
-            let within = self.settings.rules.ask_within;
+            let within = self.ask_within();
             self.ask_wait = (2 * self.ask_wait).clamp(within / 16, within / 2);
             self.ask_at = Some(self.now + self.ask_wait.mul_f64(0.5 + self.random() / 2.0));
             return;
@@ -60,12 +65,17 @@
         after.iter().chain(before).map(|(_, place)| self.servers.at(*place))
     }
 
+    /// Discovery must be asked again within this.
+    pub(super) fn ask_within(&self) -> Duration {
+        self.settings.rules.ask_within.clamp(LEAST_WITHIN, TOLD_AFTER)
+    }
+
     /// Where the list must be asked for: asks when it is time, and again if no answer came.
     pub(super) fn on_tick(&mut self, actions: &mut Vec<Action>) {
         if self.ask_at.is_some_and(|at| self.now >= at) {
             actions.push(Action::Subscribe { on: true });
-            self.ask_at = Some(self.now + self.settings.rules.ask_within / 2);
+            self.ask_at = Some(self.now + self.ask_within() / 2);
         }
-        actions.push(Action::SetTimer { after: self.settings.rules.ask_within / 64, token: TICK });
+        actions.push(Action::SetTimer { after: self.ask_within() / 64, token: TICK });
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -37,7 +37,7 @@
         self.now = now.max(self.now).max(Duration::from_nanos(1));
         if first && self.settings.list_on_request {
             // All nodes may have started together: they spread their first calls.
-            self.ask_at = Some(self.now + self.settings.rules.ask_within.mul_f64(self.random() / 4.0));
+            self.ask_at = Some(self.now + self.ask_within().mul_f64(self.random() / 4.0));
             self.on_tick(actions);
         }
         self.tend_zones(false, actions);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -539,6 +539,27 @@
     assert_eq!(asks(&world.log[before..]), 0, "a subscription needs no calls");
 }
 
+/// What discovery has counts as told after 6 s, whatever failed before: a call that takes a second and one that fails leave
+/// room for the next.
+#[test]
+fn whatever_may_be_between_calls_a_list_is_asked_for_every_few_seconds() {
+    let asks =
+        |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Subscribe { on: true })).count();
+    for within in [600_000, 60_000, 10_000, 1_000, 0] {
+        let rules = Rules { ask_within: ms(within), ..answering().rules };
+        let mut world = World::new(Settings { list_on_request: true, rules, ..answering() });
+        world.list(ListKind::Cached, vec![entry(0)]);
+        world.pass(ms(1_700));
+        assert!(asks(&world.log) >= 1, "{within}: the first call");
+        for call in 0..12 {
+            let before = world.log.len();
+            world.list(ListKind::Failed, Vec::new());
+            world.pass(ms(3_200));
+            assert!(asks(&world.log[before..]) >= 1, "{within}: after {call}");
+        }
+    }
+}
+
 #[test]
 fn a_tenant_beyond_its_share_is_refused_first() {
     let mut settings = answering();
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -266,6 +266,12 @@
     pub fn end(&self) {
         self.try_to(|stream| stream.shutdown(Shutdown::Both));
     }
+    /// Resets it, if the test holds nothing else of it.
+    pub fn reset(self) {
+        self.hush();
+        let lingers_not = Some(Duration::ZERO);
+        self.try_to(|stream| Ok(rustix::net::sockopt::set_socket_linger(stream, lingers_not)?));
+    }
     fn try_to(&self, act: impl FnOnce(&mut TcpStream) -> std::io::Result<()>) -> bool {
         act(&mut self.stream.lock().expect("the stream")).is_ok()
     }
@@ -427,6 +433,22 @@
         assert!(Command::new("kill").args([signal, &id]).status().expect("kill runs").success());
     }
 
+    /// Stops it as a machine does that gives it no turn, until it is to go on.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let stopped = || std::fs::read_to_string(&stat).is_ok_and(|stat| stat.contains(") T "));
+        until(stopped, "the node to stop");
+    }
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Whether the log holds such a line by now.
+    pub fn has_logged(&self, text: &str) -> bool {
+        self.log.lock().expect("the log").iter().any(|line| line.contains(text))
+    }
+
     /// How many descriptors it has open.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
