End a connection whose client takes nothing of an answer that passes through

While the socket takes no more, the runtime polls neither the body nor its end: the attempt gave up after 10 s, and the connection stayed with its descriptor and buffers for as long as the peer's kernel answered. The connection's own clock now looks at it: no byte moved for 10 s ends it.

Smallest change to the clients' side.

--- a/src/bin/sillward/client.rs
+++ b/src/bin/sillward/client.rs
@@ -1,6 +1,6 @@
 //! A client's connection as it stands: when bytes moved on it, and whether it holds a request.
 
-use crate::body::SILENCE;
+use crate::body::{SILENCE, STALLED};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -19,6 +19,8 @@
     pub idle: Cell<Option<Instant>>,
     /// Since when part of a further request has come.
     pub begun: Cell<Option<Instant>>,
+    /// The request that it holds is being answered with what passes through: from here on the pace is the client's.
+    pub passing: Cell<bool>,
     /// When bytes last moved on it, either way.
     pub moved: Cell<Instant>,
     /// It is to make room, and has been told so.
@@ -55,6 +57,7 @@
             asked: Cell::new(false),
             idle: Cell::new(Some(now)),
             begun: Cell::new(None),
+            passing: Cell::new(false),
             moved: Cell::new(now),
             shed: Cell::new(false),
             close: Notify::new(),
@@ -90,7 +93,11 @@
 
     pub fn lapse(&self) -> Lapse {
         let now = Instant::now();
-        let Some(idle) = self.idle.get() else { return Lapse::Later(now + READ_TIMEOUT) };
+        let Some(idle) = self.idle.get() else {
+            // Who takes nothing of its answer keeps the runtime from asking for more, or for its end.
+            let stalled = self.passing.get() && now >= self.moved.get() + STALLED;
+            return if stalled { Lapse::Cut } else { Lapse::Later(now + READ_TIMEOUT) };
+        };
         let (since, lapse) = match (self.asked.get(), self.begun.get()) {
             (false, _) => (self.connected, Lapse::Cut),
             (true, Some(begun)) => (begun, Lapse::Leave),
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -316,6 +316,7 @@
     ) -> Result<Reply, Infallible> {
         client.idle.set(None);
         client.begun.set(None);
+        client.passing.set(false);
         let first = !client.asked.replace(true);
         let since = if first { client.connected } else { Instant::now() };
         let mut busy = Some(Busy(client, self.clone()));
@@ -324,6 +325,7 @@
             Err((status, text)) => plain(status, Bytes::from_static(text.as_bytes())),
         };
         if let Either::Right(download) = response.body_mut() {
+            busy.iter().for_each(|Busy(client, _)| client.passing.set(true));
             download.lasts = busy.take();
         }
         if self.node.lifecycle.now().drains() {
