--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -314,6 +314,7 @@
     async fn respond(self: Rc<Self>, client: Rc<Client>, request: Request<Incoming>) -> Result<Reply, Left> {
         client.idle.set(None);
         client.begun.set(None);
+        client.passing.set(false);
         let first = !client.asked.replace(true);
         let since = if first { client.connected } else { Instant::now() };
         let presence = client.presence.clone();
@@ -324,6 +325,7 @@
             Err((status, text)) => plain(status, Bytes::from_static(text.as_bytes())),
         };
         if let Either::Right(download) = response.body_mut() {
+            busy.iter().for_each(|Busy(client, _)| client.passing.set(true));
             download.lasts = busy.take();
         }
         if self.node.lifecycle.now().drains() {
