Wait for a client's end where bytes unread would reset its connection over the answer

A connection was closed as soon as its last answer was with the kernel. Where the client had sent more than was read, that close is a reset, and what the client had not taken of the answer went with it: of 8 MiB before 256 KiB of further bytes 7.7 million came.

After its own half-close the node now waits for the client's end where bytes are unread, for 10 s from the last byte moved at most, or until its place is needed. It reads nothing meanwhile: what comes crosses the close and may be sent again, and is never sent on.

an_answer_that_is_being_written_comes_whole was seen to fail without the change. The other tests in crossings/client_side.rs hold as they did: resting connections reached in the turn of their close, the accept queue, a hanging backend, SIGTERM before ready, twice, and with SIGHUP in both orders.

--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -8,7 +8,7 @@
 use crate::lifecycle::{ACCEPT_ON, LAST_WORDS, Lifecycle, Phase, State};
 use crate::log::log;
 use crate::messages::{Answer, Content, Forward, Message, Requester, Taken};
-use crate::presence::Presence;
+use crate::presence::{Peer, Presence, ask};
 use crate::tcp;
 use crate::watched::Watched;
 use bytes::{Bytes, BytesMut};
@@ -31,6 +31,7 @@
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::task::{spawn_local, yield_now};
@@ -260,50 +261,83 @@
         self.clients.borrow_mut().insert(number, client.clone());
         let front = self.clone();
         spawn_local(async move {
-            let service = service_fn(|request| front.clone().respond(client.clone(), request));
-            let stream = TokioIo::new(Watched::new(stream, client.clone()));
-            let mut server = http1::Builder::new();
-            let connection = server.max_buf_size(READ_BUFFER).serve_connection(stream, service);
-            let mut connection = std::pin::pin!(connection);
-            let mut look = Instant::now();
-            // Biased: a request that has come is read before the connection is told to close.
-            loop {
-                tokio::select! {
-                    biased;
-                    _ = connection.as_mut() => break,
-                    () = client.close.notified() => {
-                        let moved = client.moved.get();
-                        // What the kernel holds is seen once the runtime has asked it: that comes first, or a request
-                        // that has come would end as a reset.
-                        yield_now().await;
-                        let ended = poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_ready())).await;
-                        match client.must_leave(moved, front.node.lifecycle.now().state == State::Terminating) {
-                            _ if ended => break,
-                            Leaves::Now => break,
-                            Leaves::InOrder => {
-                                connection.as_mut().graceful_shutdown();
-                                front.left.notify_one(); // it may have begun to hold a request
-                            }
-                            Leaves::Later => {
-                                // Somebody else makes room.
-                                client.shed.set(false);
-                                front.left.notify_one();
-                            }
-                        }
+            let in_order = front.clone().converse(&stream, &client).await;
+            if let Some(stream) = Rc::into_inner(stream).filter(|_| in_order) {
+                front.linger(stream.into_inner(), &client).await;
+            }
+            front.clients.borrow_mut().remove(&number);
+            front.left.notify_one();
+        });
+    }
+
+    /// Takes requests on a connection until it is to be closed. Whether its sending has been ended in order.
+    async fn converse(self: Rc<Self>, stream: &Rc<RefCell<TcpStream>>, client: &Rc<Client>) -> bool {
+        let service = service_fn(|request| self.clone().respond(client.clone(), request));
+        let stream = TokioIo::new(Watched::new(stream.clone(), client.clone()));
+        let mut server = http1::Builder::new();
+        let connection = server.max_buf_size(READ_BUFFER).serve_connection(stream, service);
+        let mut connection = std::pin::pin!(connection);
+        let mut look = Instant::now();
+        // Biased: a request that has come is read before the connection is told to close.
+        loop {
+            tokio::select! {
+                biased;
+                ended = connection.as_mut() => return ended.is_ok(),
+                () = client.close.notified() => {
+                    let moved = client.moved.get();
+                    // What the kernel holds is seen once the runtime has asked it: that comes first, or a request
+                    // that has come would end as a reset.
+                    yield_now().await;
+                    let polled = poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx))).await;
+                    if let Poll::Ready(ended) = polled {
+                        return ended.is_ok();
                     }
-                    () = sleep_until(look) => match client.lapse() {
-                        Lapse::Later(then) => look = then,
-                        Lapse::Leave if client.moved.get().elapsed() < STALLED => {
+                    match client.must_leave(moved, self.node.lifecycle.now().state == State::Terminating) {
+                        Leaves::Now => return false,
+                        Leaves::InOrder => {
                             connection.as_mut().graceful_shutdown();
-                            look = client.moved.get() + STALLED;
+                            self.left.notify_one(); // it may have begun to hold a request
                         }
-                        Lapse::Leave | Lapse::Cut => break,
-                    },
+                        Leaves::Later => {
+                            // Somebody else makes room.
+                            client.shed.set(false);
+                            self.left.notify_one();
+                        }
+                    }
+                }
+                () = sleep_until(look) => match client.lapse() {
+                    Lapse::Later(then) => look = then,
+                    Lapse::Leave if client.moved.get().elapsed() < STALLED => {
+                        connection.as_mut().graceful_shutdown();
+                        look = client.moved.get() + STALLED;
+                    }
+                    Lapse::Leave | Lapse::Cut => return false,
+                },
+            }
+        }
+    }
+
+    /// A close over unread bytes resets the connection, and what the client has not taken of its answer goes with it. So
+    /// where there are such bytes the client is waited for, which has been told of the end. Nothing more is read: what
+    /// comes now has crossed the close.
+    async fn linger(&self, stream: TcpStream, client: &Client) {
+        if ask(&stream) != Peer::Unread {
+            return;
+        }
+        let last = client.moved.get() + STALLED;
+        loop {
+            tokio::select! {
+                // It is ready once the client has ended its side, whatever stands unread before that.
+                _ = stream.ready(Interest::PRIORITY) => return,
+                () = sleep_until(last) => return,
+                () = client.close.notified() => {
+                    if self.is_full() {
+                        return;
+                    }
+                    client.shed.set(false); // there is room yet
                 }
             }
-            front.clients.borrow_mut().remove(&number);
-            front.left.notify_one();
-        });
+        }
     }
 
     fn next(&self) -> u64 {
--- a/src/bin/sillward/presence.rs
+++ b/src/bin/sillward/presence.rs
@@ -23,19 +23,33 @@
     pub fn has_left(&self) -> bool {
         let Some(stream) = &self.0 else { return false };
         let Some(stream) = stream.upgrade() else { return true };
-        let stream = &*stream.borrow();
-        match recv(stream, &mut [0; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT) {
-            Ok((0, _)) | Err(Errno::CONNRESET | Errno::CONNABORTED | Errno::PIPE | Errno::TIMEDOUT) => true,
-            // Bytes stand before an end, if there is one: that shows only here.
-            Ok(_) => {
-                let mut asked = [PollFd::new(stream, PollFlags::RDHUP)];
-                let now = Timespec { tv_sec: 0, tv_nsec: 0 };
-                poll(&mut asked, Some(&now)).is_ok()
-                    && asked[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
-            }
-            // Nothing has come, or this can't be asked here: no reason to turn anybody down.
-            Err(_) => false,
+        ask(&stream.borrow()) == Peer::Left
+    }
+}
+
+/// The other end of a client's connection.
+#[derive(Debug, PartialEq)]
+pub enum Peer {
+    /// All that it has sent has been read.
+    Silent,
+    /// Bytes of it are unread.
+    Unread,
+    Left,
+}
+
+pub fn ask(stream: &TcpStream) -> Peer {
+    match recv(stream, &mut [0; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+        Ok((0, _)) | Err(Errno::CONNRESET | Errno::CONNABORTED | Errno::PIPE | Errno::TIMEDOUT) => Peer::Left,
+        // Bytes stand before an end, if there is one: that shows only here.
+        Ok(_) => {
+            let mut asked = [PollFd::new(stream, PollFlags::RDHUP)];
+            let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+            let told = poll(&mut asked, Some(&now)).is_ok();
+            let ended = asked[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR);
+            if told && ended { Peer::Left } else { Peer::Unread }
         }
+        // Nothing has come, or this can't be asked here: no reason to turn anybody down.
+        Err(_) => Peer::Silent,
     }
 }
 
