--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -22,6 +22,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use rustix::net::{Shutdown, shutdown};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -261,8 +262,8 @@
         self.clients.borrow_mut().insert(number, client.clone());
         let front = self.clone();
         spawn_local(async move {
-            let in_order = front.clone().converse(&stream, &client).await;
-            if let Some(stream) = Rc::into_inner(stream).filter(|_| in_order) {
+            let told = front.clone().converse(&stream, &client).await;
+            if let Some(stream) = Rc::into_inner(stream).filter(|_| told) {
                 front.linger(stream.into_inner(), &client).await;
             }
             front.clients.borrow_mut().remove(&number);
@@ -270,7 +271,8 @@
         });
     }
 
-    /// Takes requests on a connection until it is to be closed. Whether its sending has been ended in order.
+    /// Takes requests on a connection until it is to be closed. Whether all that the client is told has been written; else it
+    /// has had its time.
     async fn converse(self: Rc<Self>, stream: &Rc<RefCell<TcpStream>>, client: &Rc<Client>) -> bool {
         let service = service_fn(|request| self.clone().respond(client.clone(), request));
         let stream = TokioIo::new(Watched::new(stream.clone(), client.clone()));
@@ -282,15 +284,15 @@
         loop {
             tokio::select! {
                 biased;
-                ended = connection.as_mut() => return ended.is_ok(),
+                _ = connection.as_mut() => return true,
                 () = client.close.notified() => {
                     let moved = client.moved.get();
                     // What the kernel holds is seen once the runtime has asked it: that comes first, or a request
                     // that has come would end as a reset.
                     yield_now().await;
                     let polled = poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx))).await;
-                    if let Poll::Ready(ended) = polled {
-                        return ended.is_ok();
+                    if polled.is_ready() {
+                        return true;
                     }
                     match client.must_leave(moved, self.node.lifecycle.now().state == State::Terminating) {
                         Leaves::Now => return false,
@@ -318,12 +320,13 @@
     }
 
     /// A close over unread bytes resets the connection, and what the client has not taken of its answer goes with it. So
-    /// where there are such bytes the client is waited for, which has been told of the end. Nothing more is read: what
+    /// where there are such bytes the client is told of the end and waited for. Nothing more is read: what
     /// comes now has crossed the close.
     async fn linger(&self, stream: TcpStream, client: &Client) {
         if ask(&stream) != Peer::Unread {
             return;
         }
+        let _ = shutdown(&stream, Shutdown::Write); // after an error the runtime has not done so; or it has just broken
         let last = client.moved.get() + STALLED;
         loop {
             tokio::select! {
