--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -327,7 +327,8 @@
             return;
         }
         let _ = shutdown(&stream, Shutdown::Write); // after an error the runtime has not done so; or it has just broken
-        let last = client.moved.get() + STALLED;
+        // Who has sent more than the system takes can't tell its end: it is not waited for beyond a peer's silence.
+        let last = client.moved.get() + READ_TIMEOUT;
         loop {
             tokio::select! {
                 // It is ready once the client has ended its side, whatever stands unread before that.
