Keep the meeting place with both processes of an upgrade, and tell each how the other stands

An upgrade whose new process crashed left the name of the meeting place with the dead one: the next process bound a queue of its own and took a whole share of the limits beside the old one. A new process told to stop before it was ready accepted from the common queue for 0.45 s without a list. The old one let go of the queue for good once another was there, also if that ended next. Standby was not carried over. Clients that all held requests and idle connections to backends stayed beyond the half. A SIGHUP or SIGTERM while the configuration was read ended the process.

Now the Unix socket is passed on with the listening one, and the first of two processes answers at it. Each tells the other in a byte its state and whether it accepts; who ends leaves the queue only to one that serves, and takes it up again. The new one follows the old one's standby. Clients beyond the half leave with their answers, idle backend connections at once. Signals are taken first of all, the operations address is bound before the sockets are asked for.

Seen to fail without it: the four process tests (crash, drain carried, told to stop before ready, signal while the configuration is read) against the old program; the queue, the clients beyond the half and the connections to backends with their lines taken out.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -124,9 +124,14 @@
             pair,
         });
         let sweeper = pool.clone();
+        let mut changes = pool.pair.changes();
         spawn_local(async move {
             loop {
-                tokio::time::sleep((sweeper.idle_limit() / 8).max(Duration::from_millis(5))).await;
+                // Also once there are two processes: what is idle beyond its half leaves before the other needs it.
+                tokio::select! {
+                    () = tokio::time::sleep((sweeper.idle_limit() / 8).max(Duration::from_millis(5))) => {}
+                    () = changes.next() => {}
+                }
                 sweeper.sweep();
             }
         });
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -127,13 +127,21 @@
             () = self.take_up(&listener) => {}
             _ = phase.wait_for(|phase| phase.state == State::Terminating) => {}
         }
-        // A successor accepts from the same queue, and nothing in it is lost when this process lets go of it.
-        if !self.node.pair.has_successor() {
-            let _ = timeout(ACCEPT_ON, self.accept(&listener)).await;
+        self.serve_waiting();
+        // Whoever has the same queue and goes on serving takes what is in it. That one may go as well, or at the same
+        // time: then this one accepts again.
+        let pair = &self.node.pair;
+        let (mut changes, until) = (pair.changes(), self.node.lifecycle.now().since + ACCEPT_ON);
+        while Instant::now() < until {
+            tokio::select! {
+                () = self.accept(&listener), if !pair.other_serves() => {}
+                () = changes.next() => {}
+                () = sleep_until(until) => {}
+            }
         }
         self.serve_waiting();
         // A connection that waits in the queue may hold a request already: closing the listener would reset it.
-        while !self.node.pair.has_successor()
+        while !pair.other_serves()
             && let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await
         {
             self.serve(stream);
@@ -175,8 +183,9 @@
 
     /// Once there are two processes each has half: what is idle beyond that leaves, as far as it goes.
     async fn keep_to_share(self: Rc<Self>) {
+        let mut changes = self.node.pair.changes();
         loop {
-            self.node.pair.changed().await;
+            changes.next().await;
             let share = self.node.pair.share(self.most_clients);
             let beyond = self.clients.borrow().len().saturating_sub(share);
             (0..beyond).for_each(|_| self.shed_longest_silent());
@@ -203,6 +212,7 @@
         while self.node.pair.has_predecessor() && !self.node.ready.get() {
             sleep(READY_PAUSE).await;
         }
+        self.node.pair.accept();
         self.accept(listener).await;
     }
 
@@ -326,7 +336,9 @@
         if let Either::Right(download) = response.body_mut() {
             download.lasts = busy.take();
         }
-        if self.node.lifecycle.now().drains() {
+        // Whoever held a request when this process came down to half of the places could not be shed then.
+        let beyond = self.clients.borrow().len() > self.node.pair.share(self.most_clients);
+        if self.node.lifecycle.now().drains() || beyond {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -22,7 +22,7 @@
 
 use clock::Clock;
 use config::{Config, Current};
-use handover::Pair;
+use handover::{Pair, Sockets};
 use lifecycle::{Lifecycle, State};
 use log::log;
 use messages::Message;
@@ -44,12 +44,9 @@
 const QUEUE: u32 = 4096;
 
 fn main() -> ExitCode {
-    let ran = Config::from_env().and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-        LocalSet::new().block_on(&runtime, run(config))
-    });
-    match ran {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("cannot start: {e}"));
+    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             log(what);
@@ -58,32 +55,40 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run() -> Result<(), String> {
+    // First of all: a signal that comes while the configuration is read would end the process.
     let broken = |e: io::Error| format!("cannot listen for signals: {e}");
     let mut terminate = signal(SignalKind::terminate()).map_err(broken)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(broken)?;
     let hangup = signal(SignalKind::hangup()).map_err(broken)?;
+    let config = Config::from_env()?;
+    // A call that comes while the process before this one is asked for its sockets waits for its answer here.
+    let ops = match config.ops {
+        Some(address) => Some(
+            TcpListener::bind(address)
+                .await
+                .map_err(|e| format!("cannot listen for the operators on {address}: {e}"))?,
+        ),
+        None => None,
+    };
     // Only a node that is operated has upgrades; elsewhere a second process for one address is a mistake.
     let (pair, place) = (Rc::<Pair>::default(), config.ops.and_then(|_| handover::meeting_place()));
+    let lifecycle = Rc::new(Lifecycle::new());
     let taken = match &place {
-        Some(place) => handover::take_over(place, config.listen, &pair).await,
+        Some(place) => handover::take_over(place, config.listen, &pair, &lifecycle).await,
         None => None,
     };
-    let listener = taken.map_or_else(|| listen(config.listen, config.ops.is_some()), Ok);
+    let (listener, meeting) = match taken {
+        Some(Sockets { listener, meeting }) => (Ok(listener), meeting),
+        None => (listen(config.listen, config.ops.is_some()), None),
+    };
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     if let Some(place) = place {
         let socket = listener.as_fd().try_clone_to_owned();
         let socket = socket.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-        tokio::task::spawn_local(handover::offer(place, socket, pair.clone()));
+        let offered = handover::offer(place, socket, meeting, pair.clone(), lifecycle.clone());
+        tokio::task::spawn_local(offered);
     }
-    let ops = match config.ops {
-        Some(address) => Some(
-            TcpListener::bind(address)
-                .await
-                .map_err(|e| format!("cannot listen for the operators on {address}: {e}"))?,
-        ),
-        None => None,
-    };
 
     let clock = Clock::start();
     let (messages, inbox) = mpsc::channel(MESSAGES);
@@ -94,7 +99,6 @@
     let discovery = discovery::Discovery::new(&config, current.clone(), address, messages.clone());
     let ready = discovery.ready();
     let node = node::Node::new(clock, &config, pool, messages.clone(), orders);
-    let lifecycle = Rc::new(Lifecycle::new());
     let view = peers::View::default();
     let evacuation = config.zones.as_ref().map(|zones| Duration::from_secs_f64(zones.evacuation_s));
     let peers = peers::Peers::new(&config, view.clone(), messages.clone(), lifecycle.clone(), pair.clone());
--- a/tests/crossings/handover.rs
+++ b/tests/crossings/handover.rs
@@ -1,1 +1,371 @@
 //! Upgrades, restarts and new settings, against requests and calls.
+
+use crate::sockets::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::ExitStatusExt;
+use std::process::Command;
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+
+const LONG: u64 = 20_000;
+
+/// The configuration of a process that is to take over from one that listens there.
+fn beside(address: SocketAddr, discovery: &Discovery, settings: &str, sockets: usize) -> String {
+    let config = with_ops(&config(discovery.address, settings, sockets));
+    config.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{address}""#))
+}
+
+/// Gives a process that asks its list.
+fn inform(discovery: &Discovery, backend: &Backend) -> Watch {
+    let mut watch = discovery.call();
+    watch.open();
+    watch.line(&list(8, true, &[entry("s-0", backend.address, "in_service")]));
+    watch
+}
+
+fn fresh(address: SocketAddr, start: &str) -> u16 {
+    Client::connect(address).ask(start, &common(LONG), b"").status()
+}
+
+// ---- Upgrades -----------------------------------------------------------------------------------
+
+#[test]
+fn after_a_new_process_crashed_the_old_one_has_its_whole_share_and_the_next_takes_over_from_it() {
+    let backend = Backend::start(|_| ok("fine"));
+    let sockets = 128; // 48 clients, of which two processes have 12 each
+    let (mut old, _watch, discovery) = serving_with(&settings(LONG, ""), &[&backend], sockets, "");
+    let address = old.address;
+    let config = beside(address, &discovery, &settings(LONG, ""), sockets);
+    let mut crashes = Node::start_in(&old.tmp, &config, "");
+    old.logged("passed the listening socket on");
+    assert_eq!(fresh(address, "GET /read/1"), 200, "one that is not ready leaves the queue to it");
+    crashes.signal("-KILL");
+    assert_eq!(crashes.exit().signal(), Some(9));
+    old.logged("the process after this one has gone");
+    assert_eq!(old.call("GET /status"), 200);
+    let mut clients: Vec<_> = (0..40).map(|_| Client::connect(address)).collect();
+    for _ in 0..2 {
+        clients.iter_mut().for_each(|client| assert_eq!(client.read().status(), 200));
+    }
+    drop(clients);
+
+    drop(discovery.call()); // the one that crashed made it
+    let third = Node::start_in(&old.tmp, &config, "");
+    third.logged("took the listening socket over");
+    let _told = inform(&discovery, &backend);
+    until(|| third.call("GET /status") == 200, "a yes");
+    old.terminate();
+    assert_eq!(old.exit().code(), Some(0));
+    third.logged("the process before this one has gone");
+    assert_eq!(fresh(address, "GET /read/1"), 200);
+    let fourth = Node::start_in(&old.tmp, &config, "");
+    fourth.logged("took the listening socket over");
+}
+
+#[test]
+fn a_drain_is_carried_over_whether_it_is_called_for_before_or_while_there_are_two() {
+    let backend = Backend::start(|_| ok("fine"));
+    for before in [true, false] {
+        let (mut old, _watch, discovery) = serving(&settings(LONG, ""), &[&backend]);
+        let config = beside(old.address, &discovery, &settings(LONG, ""), 1024);
+        if before {
+            assert_eq!(old.call("POST /standby"), 200);
+        }
+        let new = Node::start_in(&old.tmp, &config, "");
+        assert_eq!(new.call("GET /status"), 503, "starting");
+        if !before {
+            assert_eq!(old.call("POST /standby"), 200);
+        }
+        new.logged("Standby, as the process before this one");
+        let _told = inform(&discovery, &backend);
+        until(|| new.call("GET /status") == 200, "a yes");
+        assert!((0..20).all(|_| !new.is_ready()), "whichever of the two answers");
+        old.terminate();
+        assert_eq!(old.exit().code(), Some(0));
+        new.logged("the process before this one has gone");
+        assert!(!new.is_ready(), "the end of the old one ends no drain");
+        assert_eq!(new.call("POST /active"), 200);
+        assert!(new.is_ready());
+    }
+}
+
+#[test]
+fn a_new_process_that_is_told_to_stop_before_it_is_ready_leaves_the_queue_to_the_old_one() {
+    let backend = Backend::start(|_| ok("fine"));
+    let (old, _watch, discovery) = serving(&settings(LONG, ""), &[&backend]);
+    let config = beside(old.address, &discovery, &settings(LONG, ""), 1024);
+    let mut gone = Vec::new(); // the place to meet is there for as long as they are
+    for _ in 0..3 {
+        let mut new = Node::start_in(&old.tmp, &config, "");
+        new.logged("took the listening socket over");
+        new.terminate();
+        new.terminate();
+        new.logged("told to stop");
+        let all = (0..50).all(|_| fresh(old.address, "GET /read/1") == 200);
+        assert!(all, "it has no list and would refuse");
+        assert_eq!(new.call("POST /active"), 409);
+        assert_eq!(new.exit().code(), Some(0));
+        gone.push(new);
+    }
+}
+
+#[test]
+fn new_settings_told_to_both_processes_of_an_upgrade_hold_in_both_and_after_it() {
+    let backend = Backend::start(|_| ok("fine"));
+    let (mut old, _watch, discovery) = serving(&settings(LONG, ""), &[&backend]);
+    let address = old.address;
+    let before = beside(address, &discovery, &settings(LONG, ""), 1024);
+    let new = Node::start_in(&old.tmp, &before, "");
+    let _told = inform(&discovery, &backend);
+    until(|| new.call("GET /status") == 200, "a yes");
+    let after = before.replace(r#""Name":"read""#, r#""Name":"count""#);
+    new.reload(&after);
+    old.reload(&after.replace(&address.to_string(), "127.0.0.1:0"));
+    for node in [&old, &new] {
+        node.logged("classes are count, submit, correct");
+        assert_eq!(node.call("GET /status"), 200);
+    }
+    assert!((0..20).all(|_| fresh(address, "GET /count/1") == 200));
+    assert!((0..20).all(|_| fresh(address, "GET /read/1") == 404));
+    // At the yes: the signal for the settings and the one for the end, together.
+    old.signal("-HUP");
+    old.terminate();
+    new.reload(&before);
+    assert_eq!(old.exit().code(), Some(0));
+    new.logged("classes are read, submit, correct");
+    assert_eq!(fresh(address, "GET /read/1"), 200);
+}
+
+#[test]
+fn both_processes_of_an_upgrade_told_to_stop_answer_what_they_hold() {
+    let (go, gate) = channel::<()>();
+    let gate = Arc::new(Mutex::new(gate));
+    let backend = Backend::start(move |_| {
+        let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+        ok("held")
+    });
+    for old_first in [true, false] {
+        let (mut old, _watch, discovery) = serving(&settings(LONG, ""), &[&backend]);
+        let config = beside(old.address, &discovery, &settings(LONG, ""), 1024);
+        let mut new = Node::start_in(&old.tmp, &config, "");
+        let _told = inform(&discovery, &backend);
+        until(|| new.call("GET /status") == 200, "a yes");
+        let held = backend.count();
+        // Of a cold start's few places not all may be had: one at a time, each held before the next.
+        let mut client = Client::connect(old.address);
+        client.send_correct();
+        until(|| backend.count() == held + 1, "a request at the backend");
+        let both = if old_first { [&old, &new] } else { [&new, &old] };
+        both.iter().for_each(|node| node.terminate());
+        both.iter().for_each(|node| drop(node.logged("told to stop")));
+        both.iter().for_each(|node| assert_eq!(node.call("POST /standby"), 200));
+        go.send(()).expect("the backend waits");
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+        assert_eq!((old.exit().code(), new.exit().code()), (Some(0), Some(0)));
+    }
+}
+
+// ---- Restarts -----------------------------------------------------------------------------------
+
+/// The configuration comes through a pipe: who has opened it waits, and the signal comes just then.
+#[test]
+fn a_signal_that_comes_while_the_configuration_is_read_is_heard() {
+    for (signal, says) in [("-HUP", "told to look again"), ("-TERM", "told to stop")] {
+        let discovery = Discovery::start();
+        let text = config(discovery.address, &settings(LONG, ""), 1024);
+        let mut command = command(&text, "");
+        let path = command.get_envs().find_map(|(name, value)| value.filter(|_| name == "PROXY_CONFIG"));
+        let path = std::path::PathBuf::from(path.expect("its configuration"));
+        let whole = path.with_extension("whole");
+        std::fs::rename(&path, &whole).expect("a new name");
+        assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo runs").success());
+        let mut child = command.env_remove("TMPDIR").spawn().expect("the node starts");
+        // Opens once the node reads. It is to find a file there when it reads again.
+        let mut pipe = std::fs::OpenOptions::new().write(true).open(&path).expect("a reader");
+        std::fs::rename(&whole, &path).expect("its name");
+        let id = child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().expect("kill runs").success());
+        let _ = pipe.write_all(text.as_bytes()); // fails where the signal has ended it
+        drop(pipe);
+        let mut log = String::new();
+        let mut stderr = child.stderr.take().expect("its log");
+        let mut byte = [0];
+        while !log.contains(says) && stderr.read(&mut byte).expect("its log") > 0 {
+            log.push(char::from(byte[0]));
+        }
+        assert!(log.contains(says), "{signal}: {log}");
+        if signal == "-TERM" {
+            assert_eq!(child.wait().expect("its end").code(), Some(0));
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+/// A known list in place of the empty one.
+fn knowing(config: &str, known: &str) -> String {
+    config.replace(r#"{"index":7,"snapshot":true,"endpoints":[]}"#, known)
+}
+
+#[test]
+fn a_process_that_knows_backends_is_ready_with_discovery_refusing_silent_or_broken() {
+    let backend = Backend::start(|_| ok("fine"));
+    let known = list(7, true, &[entry("s-0", backend.address, "in_service"), r#"{"name":1}"#.into()]);
+    let refuses = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a port"); // it accepts nobody
+    let breaks = Discovery::start();
+    for address in [refuses, silent.local_addr().expect("its address"), breaks.address] {
+        let config = with_ops(&knowing(&config(address, &settings(LONG, ""), 1024), &known));
+        let mut node = Node::start(&config, "");
+        if address == breaks.address {
+            breaks.call().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nnonsense\r\n");
+        }
+        until(|| node.call("GET /status") == 200, "a yes");
+        assert!(node.is_ready());
+        assert_eq!(fresh(node.address, "GET /read/1"), 200);
+        node.terminate();
+        assert_eq!(node.exit().code(), Some(0));
+    }
+}
+
+#[test]
+fn a_known_list_that_is_no_good_is_passed_over_and_the_end_before_the_first_list_is_in_good_order() {
+    let backend = Backend::start(|_| ok("fine"));
+    for known in
+        ["3", r#"{"endpoints":"none"}"#, r#"{"index":-1,"endpoints":[]}"#, r#"{"endpoints":[7,null]}"#]
+    {
+        let discovery = Discovery::start();
+        let config = with_ops(&knowing(&config(discovery.address, &settings(LONG, ""), 1024), known));
+        let mut node = Node::start(&config, "");
+        let mut watch = discovery.call();
+        assert_eq!((node.call("GET /status"), node.call("POST /standby")), (503, 200), "{known}");
+        assert_eq!(node.call("POST /active"), 200);
+        watch.open();
+        watch.line(&list(8, true, &[entry("s-0", backend.address, "in_service")]));
+        until(|| node.call("GET /status") == 200, "a yes");
+        assert_eq!(fresh(node.address, "GET /read/1"), 200);
+        node.terminate();
+        assert_eq!(node.exit().code(), Some(0));
+
+        let mut ends = Node::start(&config, "");
+        ends.terminate();
+        ends.signal("-HUP");
+        ends.terminate();
+        ends.logged("told to stop");
+        assert_eq!((ends.call("GET /status"), ends.call("POST /active")), (503, 409));
+        assert_eq!(ends.exit().code(), Some(0));
+    }
+}
+
+#[test]
+fn thirty_processes_that_start_at_once_without_discovery_are_all_ready() {
+    let backend = Backend::start(|_| ok("fine"));
+    let known = list(7, true, &[entry("s-0", backend.address, "in_service")]);
+    let refuses = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let config = with_ops(&knowing(&config(refuses, &settings(LONG, ""), 1024), &known));
+    let starts: Vec<_> = (0..30)
+        .map(|_| {
+            let config = config.clone();
+            std::thread::spawn(move || {
+                let node = Node::start(&config, "");
+                until(|| node.call("GET /status") == 200, "a yes");
+                assert!(node.is_ready());
+                node
+            })
+        })
+        .collect();
+    let mut nodes: Vec<_> = starts.into_iter().map(|start| start.join().expect("a ready node")).collect();
+    nodes.iter().for_each(Node::terminate);
+    nodes.iter_mut().for_each(|node| assert_eq!(node.exit().code(), Some(0)));
+}
+
+// ---- New settings -------------------------------------------------------------------------------
+
+/// What stands in brackets after this key, and the configuration with something else there.
+fn with_array(config: &str, key: &str, to: &str) -> String {
+    let start = config.find(key).expect("the key") + key.len();
+    let end = start + config[start..].find(']').expect("its end");
+    format!("{}{to}{}", &config[..start], &config[end..])
+}
+
+#[test]
+fn classes_and_tenants_go_by_name_whatever_their_order_before_and_after_new_settings() {
+    let (go, gate) = channel::<()>();
+    let gate = Arc::new(Mutex::new(gate));
+    // Several: one that holds a request looks crowded to the next.
+    let backends = [0, 1, 2, 3].map(|_| {
+        let gate = gate.clone();
+        Backend::start(move |message| {
+            if message.start.contains("hold") {
+                let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+            }
+            ok("fine")
+        })
+    });
+    let count = || backends.iter().map(Backend::count).sum::<usize>();
+    let listed: Vec<_> =
+        (0..).zip(&backends).map(|(i, b)| entry(&format!("s-{i}"), b.address, "in_service")).collect();
+    let class = |name: &str, kind: &str| {
+        format!(
+            r#"{{"Name":"{name}","Target":{LONG},"GiveUp":{LONG},"Idempotency":"{kind}","Group":"zone","Window":60000}}"#
+        )
+    };
+    let tenant = |name: &str| format!(r#"{{"Name":"{name}","AllowancePerS":1000,"Share":1}}"#);
+    let (read, submit, correct) =
+        (class("read", "free"), class("submit", "guarded"), class("correct", "single_shot"));
+    let (acme, zeta) = (tenant("acme"), tenant("zeta"));
+    let of = |classes: &[&String], tenants: &[&String], discovery: &Discovery| {
+        let join = |all: &[&String]| all.iter().map(|one| one.as_str()).collect::<Vec<_>>().join(",");
+        let config = with_ops(&config(discovery.address, &settings(LONG, ""), 1024));
+        let config = with_array(&config, r#""Classes":["#, &join(classes));
+        with_array(&config, r#""Projects":["#, &join(tenants))
+    };
+    let as_ = |name: &str| common(LONG).replace("acme", name);
+    for first in [0, 1, 2] {
+        let discovery = Discovery::start();
+        let mut classes = [&read, &submit, &correct];
+        classes.rotate_left(first);
+        let node = Node::start(&of(&classes, &[&zeta, &acme], &discovery), "");
+        let mut watch = discovery.call();
+        watch.open();
+        watch.line(&list(8, true, &listed));
+        until(|| node.is_ready(), "readiness");
+        let serves = |calls: &[(&str, &str, u16)]| {
+            for (start, name, status) in calls {
+                let keyed = format!("{}Idempotency-Key: 1\r\n", as_(name));
+                assert_eq!(node.client().ask(start, &keyed, b"").status(), *status, "{start} of {name}");
+            }
+        };
+        let all = ["GET /read/1", "POST /submit/1", "POST /correct/1"];
+        serves(&all.map(|start| (start, "acme", 200)));
+        serves(&all.map(|start| (start, "zeta", 200)));
+        // One of a class that is dropped and of a tenant that is as well, open all the while.
+        let held = count();
+        let mut open = node.client();
+        open.send("POST /correct/hold", &as_("zeta"), b"sheet");
+        until(|| count() == held + 1, "the request at the backend");
+        classes.reverse();
+        let kept: Vec<_> = classes.into_iter().filter(|class| **class != correct).collect();
+        // Two signals in a row: whichever of the files the first one finds, the last one holds.
+        node.reload(&of(&[&submit], &[&acme], &discovery));
+        node.reload(&of(&kept, &[&acme], &discovery));
+        let names = if kept[0] == &read { "read, submit" } else { "submit, read" };
+        node.logged(&format!("classes are {names}"));
+        serves(&[
+            ("GET /read/1", "acme", 200),
+            ("POST /submit/1", "acme", 200),
+            ("GET /read/1", "zeta", 403),
+        ]);
+        serves(&[("POST /correct/1", "acme", 404)]);
+        assert_eq!(node.call("GET /status"), 200);
+        // And back, in the instant in which the process is told to stop: the request still has its answer.
+        node.reload(&of(&[&correct, &read, &submit], &[&acme, &zeta], &discovery));
+        node.logged("classes are correct, read, submit");
+        serves(&all.map(|start| (start, "zeta", 200)));
+        node.signal("-HUP");
+        node.terminate();
+        go.send(()).expect("the backend waits");
+        assert_eq!(open.answer().expect("an answer").status(), 200);
+    }
+}
