Let the rig answer a call that a busy machine let grow old

Now the call is waited for before the end, and calls made again are told the same list until that shows.

--- a/tests/crossings/handover.rs
+++ b/tests/crossings/handover.rs
@@ -16,12 +16,10 @@
     config.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{address}""#))
 }
 
-/// Gives a process that asks its list.
-fn inform(discovery: &Discovery, backend: &Backend) -> Watch {
-    let mut watch = discovery.call();
-    watch.open();
-    watch.line(&list(8, true, &[entry("s-0", backend.address, "in_service")]));
-    watch
+/// Gives a process that asks its list, and waits until it says that it can serve.
+fn inform(discovery: &Discovery, backend: &Backend, node: &Node) -> Watch {
+    let line = list(8, true, &[entry("s-0", backend.address, "in_service")]);
+    discovery.informs(&line, || node.call("GET /status") == 200, "a yes")
 }
 
 fn fresh(address: SocketAddr, start: &str) -> u16 {
@@ -40,6 +38,7 @@
     let mut crashes = Node::start_in(&old.tmp, &config, "");
     old.logged("passed the listening socket on");
     assert_eq!(fresh(address, "GET /read/1"), 200, "one that is not ready leaves the queue to it");
+    drop(discovery.call()); // it has asked for its list
     crashes.signal("-KILL");
     assert_eq!(crashes.exit().signal(), Some(9));
     old.logged("the process after this one has gone");
@@ -50,11 +49,9 @@
     }
     drop(clients);
 
-    drop(discovery.call()); // the one that crashed made it
     let third = Node::start_in(&old.tmp, &config, "");
     third.logged("took the listening socket over");
-    let _told = inform(&discovery, &backend);
-    until(|| third.call("GET /status") == 200, "a yes");
+    let _told = inform(&discovery, &backend, &third);
     old.terminate();
     assert_eq!(old.exit().code(), Some(0));
     third.logged("the process before this one has gone");
@@ -78,8 +75,7 @@
             assert_eq!(old.call("POST /standby"), 200);
         }
         new.logged("Standby, as the process before this one");
-        let _told = inform(&discovery, &backend);
-        until(|| new.call("GET /status") == 200, "a yes");
+        let _told = inform(&discovery, &backend, &new);
         assert!((0..20).all(|_| !new.is_ready()), "whichever of the two answers");
         old.terminate();
         assert_eq!(old.exit().code(), Some(0));
@@ -117,8 +113,7 @@
     let address = old.address;
     let before = beside(address, &discovery, &settings(LONG, ""), 1024);
     let new = Node::start_in(&old.tmp, &before, "");
-    let _told = inform(&discovery, &backend);
-    until(|| new.call("GET /status") == 200, "a yes");
+    let _told = inform(&discovery, &backend, &new);
     let after = before.replace(r#""Name":"read""#, r#""Name":"count""#);
     new.reload(&after);
     old.reload(&after.replace(&address.to_string(), "127.0.0.1:0"));
@@ -149,8 +144,7 @@
         let (mut old, _watch, discovery) = serving(&settings(LONG, ""), &[&backend]);
         let config = beside(old.address, &discovery, &settings(LONG, ""), 1024);
         let mut new = Node::start_in(&old.tmp, &config, "");
-        let _told = inform(&discovery, &backend);
-        until(|| new.call("GET /status") == 200, "a yes");
+        let _told = inform(&discovery, &backend, &new);
         let held = backend.count();
         // Of a cold start's few places not all may be had: one at a time, each held before the next.
         let mut client = Client::connect(old.address);
@@ -238,12 +232,9 @@
         let discovery = Discovery::start();
         let config = with_ops(&knowing(&config(discovery.address, &settings(LONG, ""), 1024), known));
         let mut node = Node::start(&config, "");
-        let mut watch = discovery.call();
         assert_eq!((node.call("GET /status"), node.call("POST /standby")), (503, 200), "{known}");
         assert_eq!(node.call("POST /active"), 200);
-        watch.open();
-        watch.line(&list(8, true, &[entry("s-0", backend.address, "in_service")]));
-        until(|| node.call("GET /status") == 200, "a yes");
+        let _told = inform(&discovery, &backend, &node);
         assert_eq!(fresh(node.address, "GET /read/1"), 200);
         node.terminate();
         assert_eq!(node.exit().code(), Some(0));
@@ -327,10 +318,7 @@
         let mut classes = [&read, &submit, &correct];
         classes.rotate_left(first);
         let node = Node::start(&of(&classes, &[&zeta, &acme], &discovery), "");
-        let mut watch = discovery.call();
-        watch.open();
-        watch.line(&list(8, true, &listed));
-        until(|| node.is_ready(), "readiness");
+        let _told = discovery.informs(&list(8, true, &listed), || node.is_ready(), "readiness");
         let serves = |calls: &[(&str, &str, u16)]| {
             for (start, name, status) in calls {
                 let keyed = format!("{}Idempotency-Key: 1\r\n", as_(name));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -225,6 +225,27 @@
     pub fn call(&self) -> Watch {
         self.calls.recv_timeout(PATIENCE).expect("a call to discovery")
     }
+    /// Tells a node its list, and waits until that shows. A call that the node gave up meanwhile, on a busy machine, it
+    /// makes again: that one is told the same.
+    pub fn informs(&self, line: &str, shows: impl Fn() -> bool, what: &str) -> Watch {
+        let mut watch = self.call();
+        let told = |watch: &Watch| {
+            watch.try_to(|stream| stream.write_all(OPEN.as_bytes()).and_then(|()| chunk(stream, line)));
+            watch.beat();
+        };
+        told(&watch);
+        until(
+            || {
+                if let Ok(again) = self.calls.try_recv() {
+                    watch = again;
+                    told(&watch);
+                }
+                shows()
+            },
+            what,
+        );
+        watch
+    }
     /// Answers every call with this line from now on, those that nobody waits for any more as well.
     pub fn tells(self, line: &str) {
         let line = line.to_owned();
@@ -483,11 +504,9 @@
     let discovery = Discovery::start();
     let config = with_ops(&config(discovery.address, settings, sockets));
     let node = Node::start(&config, shell);
-    let mut watch = discovery.call();
-    watch.open();
     let entries = backends.iter().enumerate().map(|(i, b)| entry(&format!("s-{i}"), b.address, "in_service"));
-    watch.line(&list(8, true, &entries.collect::<Vec<_>>()));
-    until(|| node.is_ready(), "readiness");
+    let line = list(8, true, &entries.collect::<Vec<_>>());
+    let watch = discovery.informs(&line, || node.is_ready(), "readiness");
     (node, watch, discovery)
 }
 
