Give tickets to cold servers evenly over the fleet and not by chance

Beyond N only 2 x root of N + 2 are put down to chance, over the sum of all processes. Each process now owes itself tickets at its rate from a first part that the golden ratio spreads over the seats, and one lasts a quarter of the span from when it was due: 1.25 x 0.8 of N at most. A probe counts as a request, and a client that comes again as no more arriving. A test plays 1 to 300 nodes with skew, restarts, late news and 1 to 10 of 10 servers replaced.

--- a/crates/lab/src/cold.rs
+++ b/crates/lab/src/cold.rs
@@ -4,7 +4,7 @@
 use crate::time::{Nanos, in_secs};
 use std::collections::VecDeque;
 
-/// When a cold server falls over: with more than N + 3 x root of N + 3 requests of mean work within the span, N being
+/// When a cold server falls over: with more than N + 2 x root of N + 2 requests of mean work within the span, N being
 /// what the settings allow it. The sum is the standing test's; root and constant are its slack for chance.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdModel {
@@ -40,7 +40,7 @@
     /// now: in requests of mean work.
     pub fn allowed(&self, whole: f64, age: Nanos) -> f64 {
         let n = self.factor * whole * self.mean_warmth(age) * in_secs(self.over) / self.unit;
-        n + 3.0 * n.sqrt() + 3.0
+        n + 2.0 * n.sqrt() + 2.0
     }
 }
 
@@ -128,21 +128,21 @@
 
     #[test]
     fn the_sum_is_the_pages() {
-        // At the start: 3 x 12 a second x 3 s, so 108 + 31.2 + 3, also in one burst.
-        assert!((MODEL.allowed(1.0, 0) - 142.177).abs() < 1e-3);
-        assert_eq!(burst(0, 0), (143, true));
+        // At the start: 3 x 12 a second x 3 s, so 108 + 20.8 + 2, also in one burst.
+        assert!((MODEL.allowed(1.0, 0) - 130.785).abs() < 1e-3);
+        assert_eq!(burst(0, 0), (131, true));
         // The mean over the span from 10 s on until 13 s is that of 11.5 s: 0.56 x 900.
-        assert!((MODEL.allowed(1.0, 13 * SECOND) - (504.0 + 3.0 * 504f64.sqrt() + 3.0)).abs() < 1e-6);
+        assert!((MODEL.allowed(1.0, 13 * SECOND) - (504.0 + 2.0 * 504f64.sqrt() + 2.0)).abs() < 1e-6);
         // It rises without a step where the span has left the start behind.
         let near = |age| MODEL.allowed(1.0, age);
         assert!((near(3 * SECOND) - near(3 * SECOND - 1000)).abs() < 1e-3);
     }
 
-    /// Over two thirds, and not two thirds: of 143 requests 47 may be from others, but not 48; of 159 just 53.
+    /// Over two thirds, and not two thirds: of 131 requests 43 may be from others, but not 44.
     #[test]
     fn who_pushed_it_is_judged_at_the_fall() {
-        assert_eq!(burst(0, 47), (143, true));
-        assert_eq!(burst(0, 48), (143, false));
+        assert_eq!(burst(0, 43), (131, true));
+        assert_eq!(burst(0, 44), (131, false));
         let mut cold = Cold::default();
         let mut press = |work: f64, told| cold.press(&MODEL, (0, 0), 1.0, work, told).falls;
         assert_eq!((press(0.5, false), press(1.0, true)), (None, Some(false)));
@@ -155,7 +155,7 @@
     fn what_came_longer_ago_does_not_count_nor_anything_at_a_warm_server() {
         let mut cold = Cold::default();
         let mut press = |at: Nanos, work| cold.press(&MODEL, (at, 0), 1.0, work, true);
-        assert!(press(0, 1.4).used > 0.98);
+        assert!(press(0, 1.3).used > 0.98);
         let later = press(3 * SECOND + 1, 0.01);
         assert!(later.falls.is_none() && later.used < 0.01 && later.used == later.used_by_told, "{later:?}");
         assert_eq!(press(23 * SECOND, 1e6), Pressed::default());
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// A server's place on the ring: multiplied by the golden ratio's part of 2^64, neighbouring ids fall apart.
-fn scatter(id: ServerId) -> u64 {
+pub(super) fn scatter(id: ServerId) -> u64 {
     id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
 
@@ -32,7 +32,8 @@
             let place = self.servers.place(entry.id);
             let old = self.servers.take(place);
             let same = old.entry.id == entry.id && old.entry.started == entry.started;
-            let new = Server { out: old.out, drawn: self.now, count, ..Server::default() };
+            let (drawn, owed) = (self.now, self.first_part(entry.id));
+            let new = Server { out: old.out, drawn, owed, count, ..Server::default() };
             if entry.state != ServerState::Gone {
                 self.servers.put(place, Server { entry, ..if same { old } else { new } });
             }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -5,6 +5,7 @@
 use hillpick::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+use std::time::Duration;
 use world::*;
 
 /// One step of a history. The numbers choose among what is there at that point.
@@ -256,3 +257,138 @@
         many_nodes_spare_a_cold_server(seed).unwrap_or_else(|broken| panic!("{broken}"));
     }
 }
+
+/// A fleet of one zone, and what happens in it while many of its servers are replaced together.
+#[derive(Clone, Debug)]
+struct Fleet {
+    nodes: u32,
+    /// Servers of ten that start anew.
+    replaced: u64,
+    /// Requests a second, as a part of what the ten can do when warm.
+    load: f64,
+    /// The busiest node has so many times the requests of the quietest.
+    skew: f64,
+    /// Each node hears of the start within that time.
+    late_ms: u64,
+    /// The parts of the nodes that start anew, and when.
+    restarts: Vec<(f64, u64)>,
+}
+
+/// Rule 4 for the whole fleet: over any span all nodes together send each cold server at most N + 2 x root of N + 2,
+/// N by its least warmth in the span's middle. First attempts, further ones, copies and probes count. Warm servers do
+/// 20 requests a second, and turn away what would wait for more than 200 ms.
+fn a_fleet_spares_cold_servers(fleet: &Fleet, probes: bool, seed: u64) -> Result<(), TestCaseError> {
+    const SERVERS: u64 = 10;
+    let (work, step, warm_after, span) = (ms(50), ms(25), 8.0, 2.0);
+    let mut settings = if probes { probing() } else { answering() };
+    settings.nodes = fleet.nodes;
+    settings.rules.cold_share = 0.12;
+    settings.rules.warm_after = Duration::from_secs_f64(warm_after);
+    settings.rules.overload_factor = 3.0;
+    settings.rules.overload_time = Duration::from_secs_f64(span);
+    let fresh = |node: u32, life: u64| {
+        let seed = seed.wrapping_add(u64::from(node) + 1000 * life);
+        World::seeded(Settings { node, ..settings.clone() }, seed)
+    };
+    let mut worlds: Vec<_> = (0..fleet.nodes).map(|node| fresh(node, 0)).collect();
+    let mut told = vec![false; worlds.len()];
+    worlds.iter_mut().for_each(|world| drop(world.list(ListKind::Full, (0..SERVERS).map(entry).collect())));
+    let began = worlds[0].now + ms(6000);
+    let anew = |n| ServerEntry { started: (n < fleet.replaced).then_some(began), ..entry(n) };
+    let mut random = hillpick_random(seed);
+    let weights: Vec<f64> = worlds.iter().map(|_| fleet.skew.powf(random())).collect();
+    let late: Vec<_> = worlds.iter().map(|_| ms(fleet.late_ms).mul_f64(random())).collect();
+    let unit = fleet.load * 20.0 * SERVERS as f64 / weights.iter().sum::<f64>() * step.as_secs_f64();
+    let mut due: Vec<f64> = worlds.iter().map(|_| random()).collect();
+    let mut restarts = fleet.restarts.clone();
+    let mut free_at = std::collections::BTreeMap::new();
+    let mut sent: Vec<Vec<Duration>> = vec![Vec::new(); SERVERS as usize];
+    let mut now = worlds[0].now;
+    while now < began + Duration::from_secs_f64(warm_after) {
+        let restart = restarts.iter().position(|(_, at)| now >= began + ms(*at)).map(|i| restarts.remove(i));
+        for node in 0..worlds.len() {
+            if restart.is_some_and(|(part, _)| random() < part) {
+                worlds[node] = fresh(node as u32, now.as_millis() as u64);
+                worlds[node].now = now;
+                worlds[node].list(ListKind::Full, (0..SERVERS).map(anew).collect());
+                told[node] = true;
+            }
+            let world = &mut worlds[node];
+            if !told[node] && now >= began + late[node] {
+                told[node] = true;
+                world.list(ListKind::Changes, (0..fleet.replaced).map(anew).collect());
+            }
+            let seen = world.log.len();
+            due[node] += unit * weights[node];
+            while due[node] >= 1.0 {
+                due[node] -= 1.0;
+                world.request(0);
+            }
+            world.pass(step);
+            while world.end_probe(Some(0.0)).is_some() {}
+            for (id, attempt) in world.out() {
+                let server = world.server_of(id, attempt);
+                let cold = now >= began && server.0 < fleet.replaced;
+                let age = now.saturating_sub(began).as_secs_f64();
+                let warmth = if cold { 0.12 + 0.88 * age / warm_after } else { 1.0 };
+                let free: &mut Duration = free_at.entry(server).or_insert(now);
+                *free = (*free).max(now);
+                if *free > now + ms(200) {
+                    world.end(id, attempt, Outcome::Rejected, Some(4.0));
+                } else if !world.answered(id) {
+                    *free += work.div_f64(warmth.min(1.0));
+                    world.end(id, attempt, Outcome::Served, Some(0.0));
+                }
+            }
+            for action in world.log[seen..].iter().filter(|_| told[node]) {
+                if let Action::Send { server, .. } | Action::Probe { server } = action {
+                    sent[server.0 as usize].push(now);
+                }
+            }
+        }
+        now += step;
+    }
+    for of in &sent[..fleet.replaced as usize] {
+        for (i, from) in of.iter().enumerate().filter(|(_, from)| **from >= began) {
+            let middle = from.saturating_sub(began).as_secs_f64() + span / 2.0;
+            let n = 3.0 * (0.12 + 0.88 * middle / warm_after).min(1.0) * 20.0 * span;
+            let count =
+                of[i..].iter().filter(|at| **at < *from + Duration::from_secs_f64(span)).count() as f64;
+            let allowed = n + 2.0 * n.sqrt() + 2.0;
+            let at = from.saturating_sub(began);
+            prop_assert!(count <= allowed, "rule 4: {} of {} within a span from {:?} on", count, allowed, at);
+        }
+    }
+    Ok(())
+}
+
+/// Numbers from 0 to 1, the same for the same seed.
+fn hillpick_random(seed: u64) -> impl FnMut() -> f64 {
+    use rand_pcg::rand_core::{RngCore, SeedableRng};
+    let mut random = rand_pcg::Pcg32::seed_from_u64(seed);
+    move || f64::from(random.next_u32()) / 2f64.powi(32)
+}
+
+fn fleet() -> impl Strategy<Value = Fleet> {
+    let nodes = prop_oneof![Just(1u32), Just(3), Just(20), Just(30), Just(300), 2u32..300];
+    let restarts = prop::collection::vec((0.0..1.0f64, 0u64..6000), 0..4);
+    (nodes, 1u64..=10, 0.4..1.3f64, 1.0..20.0f64, 0u64..3000, restarts).prop_map(
+        |(nodes, replaced, load, skew, late_ms, restarts)| Fleet {
+            nodes,
+            replaced,
+            load,
+            skew,
+            late_ms,
+            restarts,
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 16, ..config() })]
+
+    #[test]
+    fn a_whole_fleet_spares_cold_servers(seed: u64, probes: bool, fleet in fleet()) {
+        a_fleet_spares_cold_servers(&fleet, probes, seed)?;
+    }
+}
