Leave an answer whose start was handed over to its client, whatever stops its attempt then

The attempt's timer could fire while its start was in the node's queue: the stop cut an answer that was then passed on as begun, and the client's connection ended with no whole answer. The attempt now knows its stage (unwritten, written, started) and a stop does not reach one that has started; where the request has another answer nobody takes the pieces and it ends by itself.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -386,13 +386,21 @@
         stopped: oneshot::Receiver<Stop>,
         messages: mpsc::Sender<Message>,
     ) -> Ended {
-        let written = Cell::new(false);
+        let stage = Cell::new(Stage::Unwritten);
+        // The start of an answer may still be on its way to the node when that stops the attempt. It is the client's: if
+        // that has had another answer, nobody takes the pieces, and the exchange ends by itself.
+        let stopped = async {
+            match stopped.await {
+                _ if stage.get() == Stage::Started => std::future::pending().await,
+                stop => stop,
+            }
+        };
         let (outcome, report, body) = tokio::select! {
             biased;
-            ended = self.exchange(&attempt, &written, &messages) => ended,
+            ended = self.exchange(&attempt, &stage, &messages) => ended,
             // The exchange is dropped, and its connection closes.
             stop = stopped => (match stop {
-                _ if !written.get() => Outcome::NotSent,
+                _ if stage.get() == Stage::Unwritten => Outcome::NotSent,
                 Ok(Stop::TimedOut) => Outcome::TimedOut,
                 Ok(Stop::Cancelled) | Err(_) => Outcome::Cancelled,
             }, None, None),
@@ -407,7 +415,7 @@
     async fn exchange(
         self: &Rc<Self>,
         attempt: &Attempt,
-        written: &Cell<bool>,
+        stage: &Cell<Stage>,
         messages: &mpsc::Sender<Message>,
     ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
         for _ in 0..BROKEN_IN_A_ROW {
@@ -423,19 +431,19 @@
                 self.put(connection);
                 return (Outcome::NotSent, None, None);
             };
-            written.set(true);
+            stage.set(Stage::Written);
             connection.standing.ask();
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return self.served(attempt, connection, response, messages).await,
+                Ok(response) => return self.served(attempt, connection, response, (stage, messages)).await,
                 // Given back: not a byte of it was written, so another connection may have it.
                 Err(mut e) => match e.take_message() {
                     Some(request) => {
                         attempt.forward.body.put_back(request.into_body());
-                        written.set(false);
+                        stage.set(Stage::Unwritten);
                     }
                     // What stood in the way was seen before its first byte.
                     None if connection.standing.is_unwritten() => {
-                        written.set(false);
+                        stage.set(Stage::Unwritten);
                         if attempt.forward.body.is_spent() {
                             return (Outcome::NotSent, None, None);
                         }
@@ -485,7 +493,7 @@
         attempt: &Attempt,
         connection: Connection,
         response: Response<Incoming>,
-        messages: &mpsc::Sender<Message>,
+        (stage, messages): (&Cell<Stage>, &mpsc::Sender<Message>),
     ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
         let (head, mut body) = response.into_parts();
         let length = body.size_hint().exact();
@@ -518,6 +526,7 @@
         if messages.send(Message::Started(started)).await.is_err() {
             return (Outcome::Cancelled, report, None);
         }
+        stage.set(Stage::Started);
         let mut left = length.map(|length| length.saturating_sub(start.len() as u64));
         let mut piece = Piece::Data(start.freeze());
         loop {
@@ -641,6 +650,17 @@
     HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static("backend"))
 }
 
+/// How far an attempt has come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Surely not a byte of it has gone out.
+    Unwritten,
+    /// It may run.
+    Written,
+    /// The start of its answer has been handed over, and the answer is the client's.
+    Started,
+}
+
 /// What there is for an attempt.
 enum Found<'a> {
     Free(Connection),
