--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -79,9 +79,9 @@
         match end.outcome {
             Outcome::Served => {
                 self.answer_time += (end.elapsed.as_secs_f64() - self.answer_time) * SMOOTH / 4.0;
-                let (now, memory) = (self.now, self.memory());
-                let server = self.servers.get_mut(&end.server);
-                server.into_iter().for_each(|s| s.carried.add(now, memory, weight));
+                if self.servers.get(&end.server).is_some_and(|s| self.warmth(s) >= 1.0) {
+                    self.carried.add(self.now, self.memory(), weight);
+                }
                 self.judge(end.server, if tight { 0.5 } else { 0.0 }, SMOOTH * 2.0);
             }
             Outcome::ConnectFailed => self.judge(end.server, 1.0, 1.0),
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -11,7 +11,7 @@
 const LEAST_WITHIN: Duration = Duration::from_millis(64);
 
 /// A server's place on the ring: multiplied by the golden ratio's part of 2^64, neighbouring ids fall apart.
-pub(super) fn scatter(id: ServerId) -> u64 {
+fn scatter(id: ServerId) -> u64 {
     id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
 
@@ -37,8 +37,7 @@
             let place = self.servers.place(entry.id);
             let old = self.servers.take(place);
             let same = old.entry.id == entry.id && old.entry.started == entry.started;
-            let (drawn, owed) = (self.now, self.first_part(entry.id));
-            let new = Server { out: old.out, drawn, owed, count, ..Server::default() };
+            let new = Server { out: old.out, drawn: self.now, count, ..Server::default() };
             if entry.state != ServerState::Gone {
                 self.servers.put(place, Server { entry, ..if same { old } else { new } });
             }
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -122,7 +122,7 @@
             let Some(target) = targets.get(draw).copied() else { break };
             targets.retain(|t| *t != target);
             self.probe_tokens -= 1.0;
-            self.servers.get_mut(&target).into_iter().for_each(|s| (s.probing, s.asked) = (true, true));
+            self.servers.get_mut(&target).into_iter().for_each(|s| s.probing = true);
             self.probes_out += 1;
             actions.push(Action::Probe { server: target });
         }
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -16,9 +16,7 @@
         let arriving = new.arriving.then(|| new.clone());
         let until = if new.arriving { self.now + terms.aim } else { self.until(&new, present, terms) };
         let weight = self.weigh(new.cost);
-        // A client that comes again asks for nothing more than before.
-        let more = if new.client_retry { 0.0 } else { weight };
-        self.arrived.add(self.now, self.memory(), more);
+        self.arrived.add(self.now, self.memory(), weight);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(2.0 / RETRY_SHARE);
         let paid = PRICE_SPEND / self.settings.prices.probe.max(1e-9);
         self.probe_tokens = (self.probe_tokens + paid).min(self.order.len() as f64);
--- a/src/policy/send.rs
+++ b/src/policy/send.rs
@@ -40,9 +40,7 @@
         };
         let (below, any) = (self.below_cap(&fitting, draw), any_of(&fitting, draw));
         let ask = below.is_none() && !request.probed && !self.held.contains(&id);
-        // A ticket pays for one probe.
-        let may_ask = |s: &Server| !s.probing && !(s.asked && self.warmth(s) < 1.0);
-        let unknown = |s: &&&Server| ask && may_ask(s) && self.fresh_load(s).is_none();
+        let unknown = |s: &&&Server| ask && !s.probing && self.fresh_load(s).is_none();
         let unknown: Vec<_> = healthy.iter().filter(unknown).map(|s| s.entry.id).collect();
         full.iter().for_each(|zone| self.zone_full(*zone));
         // The lowest estimate below m, or a probe for one, or one at random where all have reached m.
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,14 +29,9 @@
     /// By class: the attempts that it turned away, failed or left without an answer since it last served
     /// one, forgotten over the memory of rates; and whether it has served one of another class meanwhile.
     pub missed: BTreeMap<usize, (Rate, bool)>,
-    /// While cold: until when it may be sent a request, whether that has been used for a probe, the part of the next
-    /// such ticket that is there, and when that was reckoned.
+    /// While cold: until when it may be sent a request, and when that was last drawn for.
     pub ticket: Duration,
-    pub asked: bool,
-    pub owed: f64,
     pub drawn: Duration,
-    /// Work that it answered for this node.
-    pub carried: Rate,
     /// What was seen of it last, and when that was.
     pub last: Option<(Sign, Duration)>,
 }
@@ -276,9 +271,10 @@
     pub(crate) taken: f64,
     pub(crate) probe_tokens: f64,
     pub(crate) retry_tokens: f64,
-    /// Attempts sent, and work that arrived for the first time.
+    /// Attempts sent, work that arrived, and work answered by warm servers.
     pub(crate) sent: Rate,
     pub(crate) arrived: Rate,
+    pub(crate) carried: Rate,
     /// What each tenant may still ask for within its share, and when that was reckoned.
     pub(crate) allowances: Vec<Allowance>,
     /// How long clients wait for a first try, by class.
@@ -326,6 +322,7 @@
             retry_tokens: Default::default(),
             sent: Default::default(),
             arrived: Default::default(),
+            carried: Default::default(),
             allowances: vec![Allowance::default(); settings.tenants.len()],
             patience: vec![Duration::ZERO; settings.classes.len()],
             tier: None,
