--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -65,8 +65,8 @@
         (class, weight): (Option<usize>, f64),
     ) {
         let late = overdue && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
-        // One that was given up tells as well that it takes longer than it had taken by then: left out, the median
-        // would be that of those answers which had been waited for.
+        // One that was given up tells as well that it takes longer than it had taken by then: left out, the
+        // median would be that of those answers which had been waited for.
         let cut = matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
         let usual = self.median(class);
         let (of_class, all) = (class.and_then(|class| self.medians.get_mut(class)), &mut self.median);
