Move configuration, discovery and saved files to the library, so that others can run them

What stands for many nodes has to run the production code of the control side and no copy of it. src/control has the configuration, the discovery client, saved files, clock, log and tcp; discovery is generic over its owner's messages, and what it tells are types of their own (ListUpdate, DiscoveryCommand). The errors of a configuration have a file of their own, and each public item says what it is. Behaviour is unchanged.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -1,14 +1,15 @@
 //! The backends' side: attempts, the pool of connections, probes.
 
 use crate::body::{KEPT, Outgoing, Piece, STALLED};
-use crate::clock::Clock;
-use crate::config::{Config, Current};
 use crate::handover::Pair;
 use crate::line::{Habit, Line, Standing};
-use crate::log::log;
-use crate::messages::{Attempt, Backend, Ended, Message, Started, Stop};
-use crate::tcp;
+use crate::messages::{Attempt, Ended, Message, Started, Stop};
 use bytes::{Bytes, BytesMut};
+use hillpick::control::clock::Clock;
+use hillpick::control::config::{Config, Current};
+use hillpick::control::log::log;
+use hillpick::control::tcp;
+use hillpick::control::updates::Backend;
 use hillpick::settings::Column;
 use hillpick::{ListKind, LoadReport, Outcome, ReportSource, ServerId, ServerState};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -2,16 +2,16 @@
 
 use crate::body::{Download, KEPT, LONGEST, Patience, STALLED, Upload};
 use crate::client::{Client, Lapse, Leaves, READ_TIMEOUT};
-use crate::clock::Clock;
-use crate::config::{Config, Current};
 use crate::handover::Pair;
 use crate::lifecycle::{ACCEPT_ON, LAST_WORDS, Lifecycle, Phase, State};
-use crate::log::log;
 use crate::messages::{Answer, Content, Forward, Message, Requester, Taken};
 use crate::presence::{Peer, Presence, ask};
-use crate::tcp;
 use crate::watched::Watched;
 use bytes::{Bytes, BytesMut};
+use hillpick::control::clock::Clock;
+use hillpick::control::config::{Config, Current};
+use hillpick::control::log::log;
+use hillpick::control::tcp;
 use hillpick::settings::Site;
 use hillpick::{NewRequest, Repeat, RequestId, Terms};
 use http_body_util::{BodyExt, Either, Full};
--- a/src/bin/sillward/front/leaving.rs
+++ b/src/bin/sillward/front/leaving.rs
@@ -3,8 +3,8 @@
 
 use super::*;
 use crate::backend::Pool;
-use crate::messages::{Backend, News};
 use crate::presence::tests::{Parts, part};
+use hillpick::control::updates::{Backend, ListUpdate};
 use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::LocalSet;
@@ -89,7 +89,7 @@
             pair: Rc::default(),
         };
         let front = Front::new(clock, &config, current, messages.clone(), node);
-        let news = News { kind: ListKind::Full, backends };
+        let news = ListUpdate { kind: ListKind::Full, backends };
         messages.send(Message::List(news)).await.unwrap_or_else(|_| panic!("a node"));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let rig = Rig { front, listener, ran, told, release, holds };
--- a/src/bin/sillward/handover.rs
+++ b/src/bin/sillward/handover.rs
@@ -2,9 +2,9 @@
 //! They meet at a Unix socket in `$TMPDIR`, which both have in common, and their connection stays open: as
 //! long as it does, two processes share the node's limits.
 
-use crate::config::SPARE_SOCKETS;
 use crate::lifecycle::{Lifecycle, State};
-use crate::log::log;
+use hillpick::control::config::SPARE_SOCKETS;
+use hillpick::control::log::log;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
--- a/src/bin/sillward/handover/tests.rs
+++ b/src/bin/sillward/handover/tests.rs
@@ -133,8 +133,8 @@
         for other_first in [true, false] {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-                let config = crate::config::Config::parse(CONFIG).expect("good");
-                let current = crate::config::Current::new(config.site.clone());
+                let config = hillpick::control::config::Config::parse(CONFIG).expect("good");
+                let current = hillpick::control::config::Current::new(config.site.clone());
                 let (messages, _inbox) = tokio::sync::mpsc::channel(16);
                 let (pair, lifecycle) = (Rc::<Pair>::default(), alive());
                 let node = crate::front::Node {
@@ -142,7 +142,7 @@
                     lifecycle: lifecycle.clone(),
                     pair: pair.clone(),
                 };
-                let clock = crate::clock::Clock::start();
+                let clock = hillpick::control::clock::Clock::start();
                 let front = crate::front::Front::new(clock, &config, current, messages, node);
                 let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
                 let address = listener.local_addr().expect("its address");
@@ -201,9 +201,9 @@
         "settings": {"Classes": [{"Name": "read", "Target": 60000, "GiveUp": 60000, "Idempotency": "free"}]}}"#;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-        let config = crate::config::Config::parse(CONFIG).expect("good");
+        let config = hillpick::control::config::Config::parse(CONFIG).expect("good");
         let most = config.client_connections;
-        let current = crate::config::Current::new(config.site.clone());
+        let current = hillpick::control::config::Current::new(config.site.clone());
         let (messages, mut inbox) = tokio::sync::mpsc::channel(256);
         let (pair, lifecycle) = (Rc::<Pair>::default(), alive());
         let node = crate::front::Node {
@@ -211,7 +211,13 @@
             lifecycle: lifecycle.clone(),
             pair: pair.clone(),
         };
-        let front = crate::front::Front::new(crate::clock::Clock::start(), &config, current, messages, node);
+        let front = crate::front::Front::new(
+            hillpick::control::clock::Clock::start(),
+            &config,
+            current,
+            messages,
+            node,
+        );
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("its address");
         let run = spawn_local(front.run(listener));
@@ -256,17 +262,18 @@
         "Permissions": {"IdleClose": 3600000}}}"#;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-        let config = crate::config::Config::parse(CONFIG).expect("good");
-        let current = crate::config::Current::new(config.site.clone());
+        let config = hillpick::control::config::Config::parse(CONFIG).expect("good");
+        let current = hillpick::control::config::Current::new(config.site.clone());
         let pair = Rc::<Pair>::default();
-        let clock = crate::clock::Clock::start();
+        let clock = hillpick::control::clock::Clock::start();
         let pool = crate::backend::Pool::start(clock, &config, current, pair.clone());
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("its address");
         let entry =
             |id| hillpick::ServerEntry { id, state: hillpick::ServerState::Ready, ..Default::default() };
         let ids = (0..config.backend_connections as u64).map(hillpick::ServerId);
-        let backends: Vec<_> = ids.map(|id| crate::messages::Backend { entry: entry(id), address }).collect();
+        let backends: Vec<_> =
+            ids.map(|id| hillpick::control::updates::Backend { entry: entry(id), address }).collect();
         pool.update(hillpick::ListKind::Full, &backends, clock.now());
         let (open, closed) = (Rc::new(std::cell::Cell::new(0)), Rc::new(std::cell::Cell::new(0)));
         let (opens, closes) = (open.clone(), closed.clone());
--- a/src/bin/sillward/line.rs
+++ b/src/bin/sillward/line.rs
@@ -4,8 +4,8 @@
 //! the next request.
 //! `docs/restarts.md` has the ways that were weighed.
 
-use crate::log::log;
 use hillpick::ServerId;
+use hillpick::control::log::log;
 use rustix::io::Errno;
 use rustix::net::{RecvFlags, recv};
 use std::cell::Cell;
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -3,14 +3,14 @@
 use crate::body::{Outgoing, Piece, Upload};
 use crate::presence::Presence;
 use bytes::Bytes;
+use hillpick::control::updates::ListUpdate;
 use hillpick::settings::Site;
-use hillpick::{ListKind, LoadReport, NewRequest, Outcome, RequestId, ServerEntry, ServerId, Tier, ZoneView};
+use hillpick::{LoadReport, NewRequest, Outcome, RequestId, ServerId, Tier, ZoneView};
 use http_body_util::Full;
 use hyper::Method;
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
@@ -24,7 +24,7 @@
     ClientGone(RequestId),
     Attempt(Ended),
     Probe(ProbeEnded),
-    List(News),
+    List(ListUpdate),
     Settings(Rc<Site>),
     /// What is known of the tier has changed.
     Tier(Tier),
@@ -207,21 +207,8 @@
     pub report: Option<LoadReport>,
 }
 
-/// A line of the list, and where that backend listens.
-#[derive(Clone, Debug)]
-pub struct Backend {
-    pub entry: ServerEntry,
-    pub address: SocketAddr,
-}
-
-/// News of the list.
-pub struct News {
-    pub kind: ListKind,
-    pub backends: Vec<Backend>,
-}
-
-/// What the module asks of discovery, where the list must be asked for.
-pub enum Order {
-    Subscribe(bool),
-    Fetch,
+impl From<ListUpdate> for Message {
+    fn from(update: ListUpdate) -> Self {
+        Message::List(update)
+    }
 }
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -2,12 +2,13 @@
 //! it decides nothing. Its request table alone gives final answers, and gives each exactly once.
 
 use crate::backend::Pool;
-use crate::clock::Clock;
-use crate::config::Config;
-use crate::log::log;
 use crate::messages::{
-    Answer, Attempt, Ended, Evacuation, Forward, Message, Order, ProbeEnded, Started, Stop, Taken, ZoneTold,
+    Answer, Attempt, Ended, Evacuation, Forward, Message, ProbeEnded, Started, Stop, Taken, ZoneTold,
 };
+use hillpick::control::clock::Clock;
+use hillpick::control::config::Config;
+use hillpick::control::log::log;
+use hillpick::control::updates::DiscoveryCommand;
 use hillpick::settings::{Site, places};
 use hillpick::*;
 use std::cmp::Reverse;
@@ -59,7 +60,7 @@
     balancer: Balancer,
     pool: Rc<Pool>,
     messages: mpsc::Sender<Message>,
-    discovery: mpsc::Sender<Order>,
+    discovery: mpsc::Sender<DiscoveryCommand>,
     /// The settings that the module goes by.
     site: Rc<Site>,
     held: BTreeMap<RequestId, Held>,
@@ -73,7 +74,7 @@
         config: &Config,
         pool: Rc<Pool>,
         messages: mpsc::Sender<Message>,
-        discovery: mpsc::Sender<Order>,
+        discovery: mpsc::Sender<DiscoveryCommand>,
     ) -> Self {
         let settings = config.site.settings.clone();
         Node {
@@ -279,8 +280,8 @@
             Action::SetTimer { after, token } => self.set(self.clock.now() + after, Due::Module(token)),
             Action::Probe { server } => self.probe(server),
             Action::CloseIdle { server } => self.pool.close_idle(server),
-            Action::Subscribe { on } => self.order(Order::Subscribe(on)),
-            Action::FetchList => self.order(Order::Fetch),
+            Action::Subscribe { on } => self.order(DiscoveryCommand::Subscribe(on)),
+            Action::FetchList => self.order(DiscoveryCommand::Fetch),
             // No message between nodes: the module sends none, and the site allows none.
             Action::Tell { .. } => log("a message to another node was dropped"),
             Action::Log { text } => log(text),
@@ -362,7 +363,7 @@
         }
     }
 
-    fn order(&mut self, order: Order) {
+    fn order(&mut self, order: DiscoveryCommand) {
         if self.discovery.try_send(order).is_err() {
             log("discovery has too much to do: a call was dropped");
         }
--- a/src/bin/sillward/node/tests.rs
+++ b/src/bin/sillward/node/tests.rs
@@ -2,10 +2,10 @@
 
 use super::*;
 use crate::body::{KEPT, Piece};
-use crate::config::Current;
 use crate::messages::Content;
-use crate::messages::{Backend, News};
 use bytes::Bytes;
+use hillpick::control::config::Current;
+use hillpick::control::updates::{Backend, ListUpdate};
 use hyper::Method;
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
@@ -103,7 +103,7 @@
         backends.push(Backend { entry, address: listener.local_addr().expect("its address") });
         listeners.push(listener);
     }
-    node.take(Message::List(News { kind: ListKind::Full, backends }));
+    node.take(Message::List(ListUpdate { kind: ListKind::Full, backends }));
     listeners
 }
 
--- a/src/bin/sillward/ops.rs
+++ b/src/bin/sillward/ops.rs
@@ -2,11 +2,11 @@
 //! It shares nothing with the clients' side but the lifecycle, so that no load there delays an answer here.
 
 use crate::lifecycle::{Lifecycle, State};
-use crate::log::log;
 use crate::messages::{Evacuation, Message, ZoneTold};
 use crate::peers::View;
-use crate::tcp;
 use bytes::Bytes;
+use hillpick::control::log::log;
+use hillpick::control::tcp;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
--- a/src/bin/sillward/peers.rs
+++ b/src/bin/sillward/peers.rs
@@ -1,13 +1,13 @@
 //! The node's part in membership: datagrams and times in and out of its core, the log of who comes and goes, and what the
 //! module is told of the tier. It decides nothing.
 
-use crate::config::{Config, Fleet, MOST_PEERS};
 use crate::handover::Pair;
-use crate::kept;
 use crate::lifecycle::{Lifecycle, State};
-use crate::log::log;
 use crate::messages::Message;
 use hillpick::Tier;
+use hillpick::control::config::{Config, Fleet, MOST_PEERS};
+use hillpick::control::log::log;
+use hillpick::control::saved_file;
 use hillpick_fleet::{Address, Agreement, Certainty, DATAGRAM, Identity, Membership, Name, Output, Settings};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
@@ -289,7 +289,7 @@
     /// What the life before has left. A file that is broken is no reason not to start: `peers` is there as well.
     fn load(&mut self) {
         let Some(path) = &self.fleet.saved else { return };
-        match kept::load::<Saved>(path) {
+        match saved_file::load::<Saved>(path) {
             Ok(None) => {}
             Ok(Some(kept)) => {
                 let known = kept.value.members.len();
@@ -321,7 +321,7 @@
         }
         self.saved = now.clone();
         self.saving = Some(spawn_blocking(move || {
-            if let Err(e) = kept::save(&path, &now) {
+            if let Err(e) = saved_file::save(&path, &now) {
                 log(format_args!("cannot save the members to {}: {e}", path.display()));
             }
         }));
--- a/src/bin/sillward/presence/tests.rs
+++ b/src/bin/sillward/presence/tests.rs
@@ -34,7 +34,8 @@
 
 async fn pair() -> (TcpStream, Rc<RefCell<TcpStream>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let client = crate::tcp::connect(listener.local_addr().expect("its address")).await.expect("a client");
+    let client =
+        hillpick::control::tcp::connect(listener.local_addr().expect("its address")).await.expect("a client");
     let accepted = listener.accept().await.expect("the client").0;
     (client, Rc::new(RefCell::new(accepted)))
 }
@@ -81,9 +82,10 @@
 #[tokio::test(flavor = "current_thread")]
 async fn no_small_write_is_held_back() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let opened = crate::tcp::connect(listener.local_addr().expect("its address")).await.expect("a client");
+    let opened =
+        hillpick::control::tcp::connect(listener.local_addr().expect("its address")).await.expect("a client");
     assert!(opened.nodelay().expect("an option"));
     let accepted = listener.accept().await.expect("the client").0;
     assert!(!accepted.nodelay().expect("an option"), "by itself it is off");
-    assert!(crate::tcp::undelayed(accepted).nodelay().expect("an option"));
+    assert!(hillpick::control::tcp::undelayed(accepted).nodelay().expect("an option"));
 }
--- a/src/bin/sillward/clock.rs
+++ b/src/control/clock.rs
@@ -12,15 +12,18 @@
 }
 
 impl Clock {
+    /// Reads the system clock, once.
     pub fn start() -> Self {
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
         Clock { started: Instant::now(), unix }
     }
 
+    /// The Unix time now.
     pub fn now(self) -> Duration {
         self.unix + self.started.elapsed()
     }
 
+    /// A Unix time as the runtime has it.
     pub fn instant(self, at: Duration) -> Instant {
         self.started + at.saturating_sub(self.unix)
     }
--- a/src/bin/sillward/config.rs
+++ b/src/control/config.rs
@@ -1,117 +1,25 @@
 //! What a node is told at its start: the file that `PROXY_CONFIG` names.
 
-use crate::body::KEPT;
-use hillpick::settings::{self, Site, ZonesText};
+mod problem;
+#[cfg(test)]
+mod tests;
+
+use crate::settings::{self, Site, ZonesText};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use serde_json::value::RawValue;
 use std::cell::RefCell;
-use std::fmt::Display;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Semaphore;
 
-/// Why there is no configuration. One line, whatever stands in the file.
-#[derive(Debug, thiserror::Error)]
-pub enum NoConfig {
-    /// Nothing names the file: set the variable.
-    #[error("bad configuration: PROXY_CONFIG is not set: expected the path of a JSON file")]
-    NotNamed,
-    /// The file can't be read: look at its path and rights.
-    #[error("bad configuration: cannot read {}: {source}", one_line(path.display()))]
-    Unreadable { path: PathBuf, source: std::io::Error },
-    /// What stands in it is no good.
-    #[error("bad configuration: {}: {}", one_line(path.display()), one_line(problem))]
-    Bad { path: PathBuf, problem: Problem },
-}
+pub use problem::{NoConfig, Problem};
 
-/// What is wrong in a configuration: what stands where, and what was expected. `docs/operations.md` says what to do.
-#[derive(Debug, thiserror::Error)]
-pub enum Problem {
-    /// It is no JSON, or a key is missing or of another kind.
-    #[error("{what} at line {line} column {column}{}", expected(what))]
-    Form { line: usize, column: usize, what: String },
-    /// The same within `settings`; the place is that in the whole file.
-    #[error("bad settings: {0}")]
-    InSettings(Box<Problem>),
-    /// The settings in it, or its zones.
-    #[error(transparent)]
-    Settings(#[from] settings::Problem),
-    /// An object in the environment.
-    #[error("{name}: {source}; expected an object as in the configuration")]
-    Environment { name: &'static str, source: serde_json::Error },
-    #[error("seed: {0:?}: expected up to 16 hexadecimal digits")]
-    Seed(String),
-    /// Two numbers would mean the same.
-    #[error("{key}: a name is empty or stands twice in {names:?}; expected each once")]
-    Name { key: &'static str, names: Vec<String> },
-    #[error("class {name}: {key} is not over 0; expected a time in ms")]
-    Time { name: String, key: &'static str },
-    #[error("Permissions.AttemptsCap = 0: attempts are not over 0; expected 1 or more")]
-    NoAttempts,
-    #[error("limits.sockets = {0}: too few sockets; expected {least} or more", least = SPARE_SOCKETS + LEAST)]
-    Sockets(usize),
-    #[error(
-        "fleet: the settings forbid messages between nodes (Permissions.Peers); expected no fleet, or true there"
-    )]
-    Forbidden,
-    #[error("fleet: the name {0:?}: expected 1 to 24 visible ASCII characters")]
-    FleetName(String),
-    #[error("fleet.probe_ms = {0}: expected 100 to 60000")]
-    ProbeMs(u64),
-    #[error("fleet: the peer {0}: expected an IPv4 address, as fleet.advertise is one")]
-    Peer(SocketAddr),
-    #[error("fleet: {0} peers: expected {MOST_PEERS} at most")]
-    ManyPeers(usize),
-    #[error(
-        "fleet: {count} peers: expected an address for each node up to this one's number, {node}, and {MOST_PEERS} at most"
-    )]
-    FewPeers { count: usize, node: usize },
-    #[error("fleet: peer_listen is missing; expected the address where this node hears the others")]
-    NoPeerListen,
-    /// A file that was written or copied by halves looks so.
-    #[error("{0} is missing, which the running configuration has; expected all of its keys")]
-    Missing(String),
-    #[error("{0} is no longer what it was; expected an object or a list, as the running configuration has")]
-    OtherKind(String),
-    #[error(
-        "RegistryMode: how the list is had can't change while the node runs; expected it as it was, or a new start"
-    )]
-    RegistryMode,
-}
-
-impl Problem {
-    /// What the parser says of a text that begins at `start` of the file.
-    fn form(file: &str, start: usize, error: &serde_json::Error) -> Self {
-        let before = file.get(..start).unwrap_or_default();
-        let on_line =
-            if error.line() > 1 { 0 } else { before.len() - before.rfind('\n').map_or(0, |at| at + 1) };
-        let (text, place) =
-            (error.to_string(), format!(" at line {} column {}", error.line(), error.column()));
-        Problem::Form {
-            line: before.matches('\n').count() + error.line(),
-            column: on_line + error.column(),
-            what: text.strip_suffix(&place).unwrap_or(&text).to_owned(),
-        }
-    }
-}
-
-/// What was expected, where the parser does not say.
-fn expected(what: &str) -> &'static str {
-    match what {
-        _ if what.contains("socket address") => "; expected an address and a port, such as 127.0.0.1:8080",
-        _ if what.contains("expected") || what.contains("missing field") => "",
-        _ => "; expected a whole JSON object",
-    }
-}
-
-/// Names and values come from the file; none of them begins a new line of the log.
-fn one_line(text: impl Display) -> String {
-    text.to_string().chars().map(|c| if c.is_control() { ' ' } else { c }).collect()
-}
+/// The most bytes of a body that are kept, either way.
+pub const KEPT_BODY: usize = 64 * 1024;
 
 /// The least connections with which a node can serve.
 const LEAST: usize = 3;
@@ -199,20 +107,29 @@
 
 /// A node's configuration, checked.
 pub struct Config {
+    /// Its name, the same after a restart.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where the agent of discovery listens.
     pub discovery: SocketAddr,
+    /// Where the operators call, if they do.
     pub ops: Option<SocketAddr>,
+    /// For random numbers.
     pub seed: u64,
-    /// The most client connections, and the most connections to backends.
+    /// The most client connections.
     pub client_connections: usize,
+    /// The most connections to backends.
     pub backend_connections: usize,
     /// How much of clients' bodies may be kept at a time.
     pub body_room_kib: usize,
     /// The list of backends as this node last had it: discovery's JSON, perhaps old.
     pub known: Option<String>,
+    /// Membership, if the node takes part in it.
     pub fleet: Option<Fleet>,
+    /// Zones and regions, if the node goes by them.
     pub zones: Option<ZonesText>,
+    /// The settings.
     pub site: Rc<Site>,
     /// The file without the list: a later one has to hold what this one holds.
     shape: Value,
@@ -223,14 +140,17 @@
 pub struct Current(Rc<RefCell<Rc<Site>>>);
 
 impl Current {
+    /// Settings to begin with.
     pub fn new(site: Rc<Site>) -> Self {
         Current(Rc::new(RefCell::new(site)))
     }
 
+    /// The settings that hold now.
     pub fn get(&self) -> Rc<Site> {
         self.0.borrow().clone()
     }
 
+    /// Replaces them for all parts at once.
     pub fn set(&self, site: Rc<Site>) {
         *self.0.borrow_mut() = site;
     }
@@ -270,6 +190,10 @@
         Ok(())
     }
 
+    /// Reads and checks the text of a configuration.
+    ///
+    /// # Errors
+    /// If it is no configuration that a node could run with; the error names the place and what was expected.
     pub fn parse(text: &str) -> Result<Self, Problem> {
         let file: File = serde_json::from_str(text).map_err(|e| Problem::form(text, 0, &e))?;
         let seed = match file.seed.as_str() {
@@ -334,7 +258,7 @@
             backend_connections: connections * 2 / 5,
             // A quarter of the memory; one body at least, or nobody would ever be read.
             body_room_kib: (file.limits.memory_mb.saturating_mul(1024) / 4)
-                .clamp(KEPT / 1024, Semaphore::MAX_PERMITS),
+                .clamp(KEPT_BODY / 1024, Semaphore::MAX_PERMITS),
             known: file.known.map(|known| known.get().to_owned()),
             fleet,
             zones,
@@ -419,6 +343,3 @@
         _ => None,
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/bin/sillward/discovery/mod.rs
+++ b/src/control/discovery/mod.rs
@@ -7,13 +7,13 @@
 mod tests;
 mod versions;
 
-use crate::config::{Config, Current};
-use crate::log::log;
-use crate::messages::{Backend, Message, News, Order};
-use crate::tcp;
+use crate::control::config::{Config, Current};
+use crate::control::log::log;
+use crate::control::tcp;
+use crate::control::updates::{Backend, DiscoveryCommand, ListUpdate};
+use crate::settings::millis;
+use crate::{ListKind, ServerEntry, ServerId, ServerState};
 use bytes::Bytes;
-use hillpick::settings::millis;
-use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -88,7 +88,7 @@
     /// A connection.
     type Stream: AsyncRead + AsyncWrite + Unpin + 'static;
     /// Opens one.
-    async fn dial(&self, address: SocketAddr) -> io::Result<Self::Stream>;
+    fn dial(&self, address: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
 }
 
 /// By TCP.
@@ -101,12 +101,13 @@
     }
 }
 
-pub struct Discovery<D = Tcp> {
+/// The discovery client of one node. It sends [`ListUpdate`]s, as messages `M` of its owner.
+pub struct Discovery<M, D = Tcp> {
     dial: D,
     /// Where discovery is now; it may move.
     address: watch::Receiver<SocketAddr>,
     current: Current,
-    messages: mpsc::Sender<Message>,
+    messages: mpsc::Sender<M>,
     known: Option<String>,
     random: Pcg32,
     ready: Rc<Cell<bool>>,
@@ -115,24 +116,25 @@
     broken: String,
 }
 
-impl Discovery {
+impl<M: From<ListUpdate>> Discovery<M> {
+    /// Reached by TCP at `address`, which may change; lists go to `messages`.
     pub fn new(
         config: &Config,
         current: Current,
         address: watch::Receiver<SocketAddr>,
-        messages: mpsc::Sender<Message>,
+        messages: mpsc::Sender<M>,
     ) -> Self {
         Discovery::with(Tcp, config, current, address, messages)
     }
 }
 
-impl<D: Dial> Discovery<D> {
+impl<M: From<ListUpdate>, D: Dial> Discovery<M, D> {
     fn with(
         dial: D,
         config: &Config,
         current: Current,
         address: watch::Receiver<SocketAddr>,
-        messages: mpsc::Sender<Message>,
+        messages: mpsc::Sender<M>,
     ) -> Self {
         Discovery {
             dial,
@@ -152,7 +154,8 @@
         self.ready.clone()
     }
 
-    pub async fn run(mut self, orders: mpsc::Receiver<Order>) {
+    /// Follows the list for as long as the process runs.
+    pub async fn run(mut self, orders: mpsc::Receiver<DiscoveryCommand>) {
         if let Some(known) = self.known.take() {
             let some = self.take(known.as_bytes(), Some(ListKind::Cached)).await == Taken::News(true);
             // It may be old: the first call may still bring a newer one before clients come.
@@ -168,7 +171,7 @@
     /// Lists that are pushed are watched for good, others from when the module asks on. A broken watch is no news: the
     /// list stays as it is, and the watch is opened anew on the one clock, whoever wanted it. Where discovery has moved,
     /// it is taken up there at once.
-    async fn follow(&mut self, mut orders: mpsc::Receiver<Order>) {
+    async fn follow(&mut self, mut orders: mpsc::Receiver<DiscoveryCommand>) {
         let asked = self.current.get().settings.list_on_request;
         let (mut state, mut moved) =
             (if asked { State::Unwanted } else { State::Open }, self.address.clone());
@@ -182,9 +185,9 @@
                 broken = self.pass(&state) => Event::Passed(broken),
             };
             state = match event {
-                Event::Ordered(Some(Order::Subscribe(true))) => State::Open,
-                Event::Ordered(Some(Order::Subscribe(false))) => State::Unwanted,
-                Event::Ordered(Some(Order::Fetch)) => {
+                Event::Ordered(Some(DiscoveryCommand::Subscribe(true))) => State::Open,
+                Event::Ordered(Some(DiscoveryCommand::Subscribe(false))) => State::Unwanted,
+                Event::Ordered(Some(DiscoveryCommand::Fetch)) => {
                     if let Err(broken) = self.fetch().await {
                         self.complain("the list did not come", broken);
                         self.tell(ListKind::Failed, Vec::new()).await;
@@ -388,7 +391,7 @@
     }
 
     async fn tell(&self, kind: ListKind, backends: Vec<Backend>) {
-        let _ = self.messages.send(Message::List(News { kind, backends })).await; // or the node has ended
+        let _ = self.messages.send(ListUpdate { kind, backends }.into()).await; // or the node has ended
     }
 }
 
@@ -424,7 +427,7 @@
 
 /// What ends a state.
 enum Event {
-    Ordered(Option<Order>),
+    Ordered(Option<DiscoveryCommand>),
     Moved,
     /// It ended by itself; why, if it was a watch.
     Passed(Option<String>),
@@ -432,10 +435,10 @@
 
 /// The next order that changes something: the module asks again where no list has come, and none comes while nothing
 /// changes.
-async fn next_order(orders: &mut mpsc::Receiver<Order>, wanted: bool) -> Option<Order> {
+async fn next_order(orders: &mut mpsc::Receiver<DiscoveryCommand>, wanted: bool) -> Option<DiscoveryCommand> {
     loop {
         match orders.recv().await {
-            Some(Order::Subscribe(on)) if on == wanted => {}
+            Some(DiscoveryCommand::Subscribe(on)) if on == wanted => {}
             order => return order,
         }
     }
--- a/src/bin/sillward/discovery/tests.rs
+++ b/src/control/discovery/tests.rs
@@ -2,7 +2,6 @@
 
 use super::lines::{Fed, Lines};
 use super::*;
-use crate::messages::News;
 use std::cell::RefCell;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 use tokio::task::LocalSet;
@@ -69,8 +68,8 @@
 
 struct Rig {
     calls: mpsc::UnboundedReceiver<Call>,
-    news: mpsc::Receiver<Message>,
-    orders: mpsc::Sender<Order>,
+    news: mpsc::Receiver<ListUpdate>,
+    orders: mpsc::Sender<DiscoveryCommand>,
     moved: watch::Sender<SocketAddr>,
     down: Rc<Cell<bool>>,
     refused: Rc<RefCell<Vec<Duration>>>,
@@ -101,12 +100,9 @@
     async fn call(&mut self) -> Call {
         timeout(PATIENCE, self.calls.recv()).await.expect("a call in an hour").expect("a call")
     }
-    async fn news(&mut self) -> News {
+    async fn news(&mut self) -> ListUpdate {
         let news = timeout(PATIENCE, self.news.recv()).await.expect("news in an hour");
-        match news.expect("news") {
-            Message::List(news) => news,
-            _ => panic!("discovery tells lists alone"),
-        }
+        news.expect("news")
     }
     /// Names by state, of the next list.
     async fn told(&mut self) -> (ListKind, Vec<ServerState>) {
@@ -301,7 +297,7 @@
         for mode in ["", r#""RegistryMode":"ask","#] {
             played(async || {
                 let mut rig = Rig::with_grace(mode, grace, false);
-                rig.orders.send(Order::Subscribe(true)).await.expect("it obeys");
+                rig.orders.send(DiscoveryCommand::Subscribe(true)).await.expect("it obeys");
                 let mut call = bad_calls(&mut rig, &some, back).await;
                 call.open().await;
                 call.write(&list(9, true, &[entry("s-0", "terminating", 0)])).await;
@@ -322,7 +318,7 @@
 fn who_asks_for_lists_calls_seldom_while_discovery_is_down() {
     played(async || {
         let rig = Rig::start(r#""RegistryMode":"ask","#, true);
-        rig.orders.send(Order::Subscribe(true)).await.expect("it obeys");
+        rig.orders.send(DiscoveryCommand::Subscribe(true)).await.expect("it obeys");
         sleep(Duration::from_secs(60)).await;
         let at = rig.refused.borrow().clone();
         let gaps: Vec<_> = at.windows(2).map(|two| ms(two[1] - two[0])).collect();
@@ -404,7 +400,7 @@
         for wait_ms in [100, 1_001, 1_020, 3_000] {
             played(async || {
                 let mut rig = Rig::start(mode, false);
-                rig.orders.send(Order::Subscribe(true)).await.expect("it obeys");
+                rig.orders.send(DiscoveryCommand::Subscribe(true)).await.expect("it obeys");
                 let mut held = vec![rig.call().await];
                 let moves = rig.begun + Duration::from_millis(wait_ms);
                 while let Ok(call) = tokio::time::timeout_at(moves, rig.call()).await {
@@ -430,18 +426,18 @@
         rig.moved.send(NEW.parse().expect("an address")).expect("it listens");
         sleep(Duration::from_secs(60)).await;
         assert!(rig.calls.try_recv().is_err());
-        rig.orders.send(Order::Subscribe(true)).await.expect("it obeys");
+        rig.orders.send(DiscoveryCommand::Subscribe(true)).await.expect("it obeys");
         let mut call = rig.call().await;
         assert_eq!(call.to, NEW.parse().unwrap());
         call.open().await;
         // Asked for again, the watch that is open does.
         for _ in 0..5 {
-            rig.orders.send(Order::Subscribe(true)).await.expect("it obeys");
+            rig.orders.send(DiscoveryCommand::Subscribe(true)).await.expect("it obeys");
             sleep(Duration::from_secs(2)).await;
             call.write("\n").await;
         }
         assert!(rig.calls.try_recv().is_err());
-        rig.orders.send(Order::Subscribe(false)).await.expect("it obeys");
+        rig.orders.send(DiscoveryCommand::Subscribe(false)).await.expect("it obeys");
         assert_eq!(call.pipe.read(&mut [0]).await.expect("an end"), 0);
     });
 }
@@ -453,7 +449,7 @@
         for moved_first in [false, true] {
             played(async || {
                 let mut rig = Rig::start(mode, true);
-                rig.orders.send(Order::Subscribe(true)).await.expect("it obeys");
+                rig.orders.send(DiscoveryCommand::Subscribe(true)).await.expect("it obeys");
                 sleep(Duration::from_millis(7_321)).await;
                 let back = rig.begun.elapsed();
                 let old = if moved_first {
--- a/src/bin/sillward/discovery/versions.rs
+++ b/src/control/discovery/versions.rs
@@ -1,8 +1,8 @@
 //! Which lists are news. An agent may come back with a list older than the one that the node was told; believed, it
 //! would undo a drain.
 
-use crate::messages::Backend;
-use hillpick::{ListKind, ServerId, ServerState};
+use crate::control::updates::Backend;
+use crate::{ListKind, ServerId, ServerState};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/src/bin/sillward/tcp.rs
+++ b/src/control/tcp.rs
@@ -5,6 +5,10 @@
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 
+/// Opens a connection.
+///
+/// # Errors
+/// What the system says if none comes up.
 pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     TcpStream::connect(address).await.map(undelayed)
 }
