Send an attempt to no other run of its backend, and reuse no half-written connection

Three faults that were suspected by reading, each forced by a test that was seen to fail without its change: - An attempt that waited for its turn or for a dial while its backend started anew was written to the new run, which is cold and was not what the module had decided on. It now ends as not sent, and the module chooses again. - What a backend wrote on a new connection before it was asked anything was read as the first answer. The kernel is now asked before the first byte of every request, not on used connections alone. - A short answer that came while its request was still being sent put the connection back, and the next attempt waited on it for as long as the upload took. Such a connection is closed. A short answer is a type of its own, and who reads it puts its connection back.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -69,6 +69,8 @@
     state: ServerState,
     started: Option<Duration>,
     epoch: u64,
+    /// Counts the backend's starts and moves that the list has told of. An attempt is for the run that it was decided on.
+    run: u64,
     /// When it was told that the backend drains or is gone.
     told: Option<Duration>,
     /// Idle connections, each with when it fell idle; the last used comes last.
@@ -188,6 +190,7 @@
                 place.told.get_or_insert(now);
             }
             // What leads to an earlier run, or to a backend that wants nothing new, is of no more use.
+            place.run += u64::from(moved);
             if moved || entry.state != ServerState::Ready {
                 place.drop_idle();
             }
@@ -384,12 +387,28 @@
         }
     }
 
-    /// Makes an attempt, until it ends or is stopped.
-    pub async fn attempt(
+    /// Makes an attempt, until it ends or is stopped. It is for the run of its backend that is listed at this call, whenever
+    /// the future is polled: a backend that has started anew since then was not what was decided on, and is cold.
+    pub fn attempt(
         self: Rc<Self>,
         attempt: Attempt,
         stopped: oneshot::Receiver<Stop>,
         messages: mpsc::Sender<Message>,
+    ) -> impl Future<Output = Ended> {
+        let run = self.run_of(attempt.server);
+        self.attempt_at(run, attempt, stopped, messages)
+    }
+
+    fn run_of(&self, server: ServerId) -> Option<u64> {
+        self.places.borrow().get(&server).map(|place| place.run)
+    }
+
+    async fn attempt_at(
+        self: Rc<Self>,
+        run: Option<u64>,
+        attempt: Attempt,
+        stopped: oneshot::Receiver<Stop>,
+        messages: mpsc::Sender<Message>,
     ) -> Ended {
         let stage = Cell::new(Stage::Unwritten);
         // The start of an answer may still be on its way to the node when that stops the attempt. It is the client's: if
@@ -402,7 +421,7 @@
         };
         let (outcome, report, body) = tokio::select! {
             biased;
-            ended = self.exchange(&attempt, &stage, &messages) => ended,
+            ended = self.exchange(run, &attempt, &stage, &messages) => ended,
             // The exchange is dropped, and its connection closes.
             stop = stopped => (match stop {
                 _ if stage.get() == Stage::Unwritten => Outcome::NotSent,
@@ -419,6 +438,7 @@
 
     async fn exchange(
         self: &Rc<Self>,
+        run: Option<u64>,
         attempt: &Attempt,
         stage: &Cell<Stage>,
         messages: &mpsc::Sender<Message>,
@@ -432,7 +452,7 @@
                 continue;
             }
             // Time has passed since the decision: what was permitted then may not be any more.
-            let Some(request) = self.request(attempt) else {
+            let Some(request) = self.request(run, attempt) else {
                 self.put(connection);
                 return (Outcome::NotSent, None, None);
             };
@@ -461,11 +481,12 @@
     }
 
     /// The request as it is written now, if it may still be: not past its time, the backend's grace or the
-    /// window in which backends drop its repeats, and not once it has its answer or its client has left.
-    fn request(&self, attempt: &Attempt) -> Option<Request<Outgoing>> {
+    /// window in which backends drop its repeats, not to another run of the backend, and not once it has its answer or its
+    /// client has left.
+    fn request(&self, run: Option<u64>, attempt: &Attempt) -> Option<Request<Outgoing>> {
         let (now, forward) = (self.clock.now(), &attempt.forward);
         let places = self.places.borrow();
-        let place = places.get(&attempt.server)?;
+        let place = places.get(&attempt.server).filter(|place| Some(place.run) == run)?;
         let forgotten =
             forward.window.zip(forward.first_byte.get()).is_some_and(|(w, first)| now >= first + w);
         let drained = place.told.is_some_and(|told| now >= told + self.drain_grace());
@@ -503,7 +524,11 @@
         let (head, mut body) = response.into_parts();
         let length = body.size_hint().exact();
         if head.status != StatusCode::OK || length.is_some_and(|length| length <= KEPT as u64) {
-            return self.answered(attempt.server, connection, Response::from_parts(head, body)).await;
+            let answered = self.answered(attempt.server, Response::from_parts(head, body)).await;
+            if answered.is_whole() {
+                self.put_after(attempt, connection);
+            }
+            return answered.into_served();
         }
         let report = self.report_in(&head.headers);
         // Perhaps it is long: then its first bytes are what counts, and half of the time is left for them.
@@ -570,32 +595,25 @@
     }
 
     /// Reads a short answer, whole.
-    async fn answered(
-        self: &Rc<Self>,
-        server: ServerId,
-        connection: Connection,
-        response: Response<Incoming>,
-    ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
+    async fn answered(self: &Rc<Self>, server: ServerId, response: Response<Incoming>) -> ShortAnswer {
         let (head, body) = response.into_parts();
         let report = self.report_in(&head.headers);
         let body = match Limited::new(body, KEPT).collect().await {
             Ok(body) => body.to_bytes(),
             Err(e) if e.is::<LengthLimitError>() => {
                 log(format_args!("server {:x}: an answer over {KEPT} bytes was dropped", server.0));
-                return (Outcome::Error, report, None);
+                return ShortAnswer { outcome: Outcome::Error, report, body: None };
             }
-            Err(_) => return (Outcome::Reset, None, None),
+            Err(_) => return ShortAnswer { outcome: Outcome::Reset, report: None, body: None },
         };
-        self.put(connection);
         let turned_away = head.headers.get("x-rejected").is_some_and(|value| value == "1");
-        match head.status {
-            StatusCode::OK => (Outcome::Served, report, Some(body)),
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
-                (Outcome::Rejected, report, None)
-            }
+        let outcome = match head.status {
+            StatusCode::OK => Outcome::Served,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Rejected,
             // Nothing else promises that the request never ran.
-            _ => (Outcome::Error, report, None),
-        }
+            _ => Outcome::Error,
+        };
+        ShortAnswer { outcome, report, body: Some(body) }
     }
 
     /// Asks a backend for its load, or for a sign of life where it reports none.
@@ -619,12 +637,15 @@
         let Ok(response) = connection.sender.send_request(request).await else {
             return (Outcome::Reset, None);
         };
-        let (outcome, in_head, body) = self.answered(server, connection, response).await;
+        let answered = self.answered(server, response).await;
+        if answered.is_whole() {
+            self.put(connection);
+        }
         let in_body = || {
-            let body = body.filter(|_| reports)?;
-            self.report(std::str::from_utf8(&body).ok()?)
+            let body = answered.body.as_ref().filter(|_| reports && answered.outcome == Outcome::Served)?;
+            self.report(std::str::from_utf8(body).ok()?)
         };
-        (outcome, in_body().or(in_head))
+        (answered.outcome, in_body().or(answered.report))
     }
 
     fn report_in(&self, headers: &HeaderMap) -> Option<LoadReport> {
@@ -655,6 +676,27 @@
     HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static("backend"))
 }
 
+/// An answer that is read whole before anything of it is passed on.
+struct ShortAnswer {
+    outcome: Outcome,
+    report: Option<LoadReport>,
+    /// Whatever the status was; `None` if the answer did not come whole.
+    body: Option<Bytes>,
+}
+
+impl ShortAnswer {
+    /// Whether its connection can carry another request.
+    fn is_whole(&self) -> bool {
+        self.body.is_some()
+    }
+
+    /// The body, if it is the request's answer.
+    fn into_served(self) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
+        let body = self.body.filter(|_| self.outcome == Outcome::Served);
+        (self.outcome, self.report, body)
+    }
+}
+
 /// How far an attempt has come.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Stage {
--- a/src/bin/sillward/backend/tests.rs
+++ b/src/bin/sillward/backend/tests.rs
@@ -190,12 +190,16 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// Makes an attempt: how it ended, and its answer.
-async fn served(pool: &Rc<Pool>, id: &'static str) -> (Outcome, String) {
-    let (_stop, stopped) = oneshot::channel();
-    let (messages, _inbox) = mpsc::channel(1);
-    let ended = pool.clone().attempt(asks(pool, id), stopped, messages).await;
-    (ended.outcome, String::from_utf8_lossy(&ended.body.unwrap_or_default()).into_owned())
+/// Decides on an attempt at once, and makes it when it is polled: how it ended, and its answer.
+fn served(pool: &Rc<Pool>, id: &'static str) -> impl Future<Output = (Outcome, String)> + use<> {
+    let (stop, stopped) = oneshot::channel();
+    let (messages, inbox) = mpsc::channel(1);
+    let attempt = pool.clone().attempt(asks(pool, id), stopped, messages);
+    async move {
+        let (_stop, _inbox) = (stop, inbox);
+        let ended = attempt.await;
+        (ended.outcome, String::from_utf8_lossy(&ended.body.unwrap_or_default()).into_owned())
+    }
 }
 
 fn right(id: &str) -> (Outcome, String) {
@@ -377,3 +381,133 @@
         assert_eq!(connections.get(), 1);
     });
 }
+
+// ---- Two events that meet on a connection ---------------------------------------------------------
+
+/// What a backend writes on a new connection before it was asked is nobody's answer.
+#[test]
+fn what_has_come_unnoticed_on_a_new_connection_is_not_its_first_answer() {
+    with_pool(async |pool, listener, _| {
+        tokio::time::pause();
+        let (dialled, (stream, _)) =
+            tokio::join!(pool.take(SERVER), async { listener.accept().await.expect("a dial") });
+        pool.put(dialled.expect("a connection"));
+        let connections = plays(listener, MS, None);
+        // From here to the request nothing waits.
+        let stray = answer("1");
+        assert_eq!(stream.try_write(stray.as_bytes()).ok(), Some(stray.len()));
+        assert_eq!(served(&pool, "2").await, right("2"));
+        assert_eq!(connections.get(), 1, "on a connection of its own");
+    });
+}
+
+/// The backend starts anew, perhaps at another address.
+fn restart(pool: &Pool, backend: &Backend) {
+    let mut backend = backend.clone();
+    backend.entry.started = Some(pool.clock.now());
+    pool.update(ListKind::Changes, &[backend], pool.clock.now());
+}
+
+#[test]
+fn an_attempt_is_for_the_run_of_its_backend_that_it_was_decided_on() {
+    // The news comes first: the attempt is for the new run.
+    with_pool(async |pool, listener, backend| {
+        let connections = plays(listener, Duration::ZERO, None);
+        restart(&pool, &backend);
+        assert_eq!(served(&pool, "1").await, right("1"));
+        assert_eq!(connections.get(), 1);
+    });
+    // The attempt was decided on first, and has not begun.
+    with_pool(async |pool, listener, backend| {
+        let connections = plays(listener, Duration::ZERO, None);
+        assert_eq!(served(&pool, "1").await, right("1"));
+        let attempt = served(&pool, "2");
+        restart(&pool, &backend);
+        assert_eq!(attempt.await, (Outcome::NotSent, String::new()));
+        assert_eq!(served(&pool, "3").await, right("3"));
+        assert_eq!(connections.get(), 2);
+    });
+    // It waits for its dial, which comes up after the news.
+    with_pool(async |pool, listener, backend| {
+        let mut attempt = std::pin::pin!(served(&pool, "1"));
+        tokio::select! {
+            biased;
+            _ = &mut attempt => panic!("the dial has not been up yet"),
+            () = std::future::ready(()) => restart(&pool, &backend),
+        }
+        let _connections = plays(listener, Duration::ZERO, None);
+        assert_eq!(attempt.await, (Outcome::NotSent, String::new()));
+    });
+    // A drain is no new run: within the grace it is sent.
+    with_pool_of(
+        &CONFIG.replacen("\"DrainGrace\": 0", "\"DrainGrace\": 2000", 1),
+        async |pool, listener, mut backend| {
+            let _connections = plays(listener, Duration::ZERO, None);
+            let attempt = served(&pool, "1");
+            backend.entry.state = ServerState::Draining;
+            pool.update(ListKind::Changes, &[backend], pool.clock.now());
+            assert_eq!(attempt.await, right("1"));
+        },
+    );
+}
+
+/// A request body of this length that a client has begun to send, and the client's end.
+async fn upload(length: usize, begun: usize) -> (crate::body::Upload, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut client =
+        TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a connection");
+    let (stream, _) = listener.accept().await.expect("the client");
+    let (bodies, mut came) = mpsc::channel(1);
+    spawn_local(async move {
+        let service = hyper::service::service_fn(move |request: Request<Incoming>| {
+            let bodies = bodies.clone();
+            async move {
+                let _ = bodies.send(request.into_body()).await;
+                std::future::pending::<Result<Response<Full<Bytes>>, std::convert::Infallible>>().await
+            }
+        });
+        let _ =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    });
+    let head = format!("POST /submit/1 HTTP/1.1\r\nHost: node\r\nContent-Length: {length}\r\n\r\n");
+    client.write_all(head.as_bytes()).await.expect("it is read");
+    client.write_all(&vec![b'x'; begun]).await.expect("it is read");
+    let body = came.recv().await.expect("a request");
+    let patience = crate::body::Patience::until(tokio::time::Instant::now() + MINUTE);
+    let (upload, _unread) = crate::body::Upload::new((Bytes::new(), None), body, patience, Box::new(|| {}));
+    (upload, client)
+}
+
+/// A short answer may come while the request is still being sent. Its connection is of use for another request only once
+/// all of the first has been written.
+#[test]
+fn a_connection_on_which_half_a_request_was_written_carries_no_other() {
+    const LENGTH: usize = 2 * KEPT;
+    for begun in [100, LENGTH] {
+        let whole = begun == LENGTH;
+        with_pool(async |pool, listener, _| {
+            let (body, _client) = upload(LENGTH, begun).await;
+            let mut attempt = asks(&pool, "1");
+            let forward = Rc::get_mut(&mut attempt.forward).expect("nobody else has it");
+            forward.body = Content::passing(body);
+            let (_stop, stopped) = oneshot::channel();
+            let (messages, _inbox) = mpsc::channel(1);
+            let backend = async {
+                let (mut stream, _) = listener.accept().await.expect("a dial");
+                asked(&mut stream).await.expect("a request");
+                let mut body = vec![0; begun];
+                stream.read_exact(&mut body).await.expect("what has been sent of the body");
+                stream.write_all(answer("1").as_bytes()).await.expect("the pool reads");
+                stream
+            };
+            let (ended, _stream) = tokio::join!(pool.clone().attempt(attempt, stopped, messages), backend);
+            assert_eq!(ended.outcome, Outcome::Served);
+            assert_eq!(idle(&pool), usize::from(whole), "{begun} of {LENGTH} bytes were written");
+            let connections = plays(listener, Duration::ZERO, None);
+            if !whole {
+                assert_eq!(served(&pool, "2").await, right("2"));
+                assert_eq!(connections.get(), 1);
+            }
+        });
+    }
+}
--- a/src/bin/sillward/line.rs
+++ b/src/bin/sillward/line.rs
@@ -115,10 +115,11 @@
         Line { stream, standing }
     }
 
-    /// Before the first byte of a request on a used connection: what has come may not have been noticed yet, since the
-    /// runtime asks the kernel only now and then. So it is asked here, at once.
+    /// Before the first byte of a request: what has come may not have been noticed yet, since the runtime asks the kernel
+    /// only now and then. So it is asked here, at once. On a new connection as well: what a backend writes there before it
+    /// was asked anything would be read as the head of the first answer.
     fn look(&self) -> io::Result<()> {
-        if !self.standing.unwritten.get() || self.standing.answered.get().is_none() {
+        if !self.standing.unwritten.get() {
             return Ok(());
         }
         match recv(&self.stream, &mut [0; 64][..], RecvFlags::empty()) {
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -332,8 +332,9 @@
             self.set(until, Due::Attempt(id, number)); // one that still comes is timed once it is there
         }
         let (pool, messages) = (self.pool.clone(), self.messages.clone());
+        let ended = pool.attempt(attempt, stopped, messages.clone());
         spawn_local(async move {
-            let ended = pool.attempt(attempt, stopped, messages.clone()).await;
+            let ended = ended.await;
             let _ = messages.send(Message::Attempt(ended)).await; // fails only when the node has ended
         });
         None
