Move the driver of membership to the library, so that others can run it

A hollow node of the lab has to run the code that the node runs, and the driver stood in the node's program, tied to its lifecycle, its hand-over and its messages. It is src/control/peers.rs now: messages are generic (M: From<Tier>, as in discovery), the process's state is a watch of a small enum, and whether another process of the node is there is a trait of two questions (both in control/process.rs). What the operators' calls show is peers/view.rs. Errors are typed and say what an operator can do. A node with fleet.advertise whose number is over 65,535 took silently no part; the number is not asked for there any more.

Two new tests run nodes without a program around them, three in a thread over UDP.

--- a/src/bin/sillward/handover.rs
+++ b/src/bin/sillward/handover.rs
@@ -5,6 +5,7 @@
 use crate::lifecycle::{Lifecycle, State};
 use hillpick::control::config::SPARE_SOCKETS;
 use hillpick::control::log::log;
+use hillpick::control::process::Siblings;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
@@ -131,6 +132,16 @@
     }
 }
 
+impl Siblings for Pair {
+    fn has_predecessor(&self) -> bool {
+        Pair::has_predecessor(self)
+    }
+
+    fn has_successor(&self) -> bool {
+        Pair::has_successor(self)
+    }
+}
+
 /// Where the processes of this node meet, if it has a place for that.
 pub fn meeting_place() -> Option<PathBuf> {
     Some(PathBuf::from(std::env::var_os("TMPDIR")?).join(NAME))
--- a/src/bin/sillward/lifecycle.rs
+++ b/src/bin/sillward/lifecycle.rs
@@ -1,5 +1,6 @@
 //! The one owner of what the node is about: serving, drained for its staff, or on its way out.
 
+pub use hillpick::control::process::State;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -14,13 +15,6 @@
 /// after so long could find no answer in time, and is not taken.
 pub const LAST_BYTE: Duration = Duration::from_millis(650);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    Active,
-    Standby,
-    Terminating,
-}
-
 /// A state, and since when.
 #[derive(Clone, Copy, Debug)]
 pub struct Phase {
@@ -35,19 +29,31 @@
     }
 }
 
-pub struct Lifecycle(watch::Sender<Phase>);
+pub struct Lifecycle {
+    phase: watch::Sender<Phase>,
+    /// The state of that phase alone, for who runs outside of this program as well.
+    state: watch::Sender<State>,
+}
 
 impl Lifecycle {
     pub fn new() -> Self {
-        Lifecycle(watch::Sender::new(Phase { state: State::Active, since: Instant::now() }))
+        Lifecycle {
+            phase: watch::Sender::new(Phase { state: State::Active, since: Instant::now() }),
+            state: watch::Sender::new(State::Active),
+        }
     }
 
     pub fn now(&self) -> Phase {
-        *self.0.borrow()
+        *self.phase.borrow()
     }
 
     pub fn watch(&self) -> watch::Receiver<Phase> {
-        self.0.subscribe()
+        self.phase.subscribe()
+    }
+
+    /// The state alone.
+    pub fn watch_state(&self) -> watch::Receiver<State> {
+        self.state.subscribe()
     }
 
     /// Returns when nothing further may be taken, if that ever comes.
@@ -64,14 +70,16 @@
     /// Enters a state, and says whether the node is in it now. To enter it again changes nothing, not even since
     /// when: a drain that is called for twice ends no later. Nothing follows termination.
     pub fn enter(&self, state: State) -> bool {
-        self.0.send_if_modified(|phase| {
+        self.phase.send_if_modified(|phase| {
             let changes = phase.state != state && phase.state != State::Terminating;
             if changes {
                 *phase = Phase { state, since: Instant::now() };
             }
             changes
         });
-        self.now().state == state
+        let now = self.now().state;
+        self.state.send_if_modified(|told| std::mem::replace(told, now) != now);
+        now == state
     }
 }
 
@@ -82,8 +90,10 @@
     #[tokio::test(start_paused = true)]
     async fn repeated_calls_change_nothing_and_termination_is_final() {
         let lifecycle = Lifecycle::new();
+        let told = lifecycle.watch_state();
         assert!(lifecycle.enter(State::Active) && !lifecycle.now().drains());
         assert!(lifecycle.enter(State::Standby) && lifecycle.now().drains());
+        assert_eq!(*told.borrow(), State::Standby);
         let since = lifecycle.now().since;
         tokio::time::advance(Duration::from_secs(1)).await;
         assert!(lifecycle.enter(State::Standby));
@@ -91,6 +101,6 @@
         assert!(lifecycle.enter(State::Active) && !lifecycle.now().drains());
         assert!(lifecycle.enter(State::Terminating));
         assert!(!lifecycle.enter(State::Active) && !lifecycle.enter(State::Standby));
-        assert_eq!(lifecycle.now().state, State::Terminating);
+        assert_eq!((lifecycle.now().state, *told.borrow()), (State::Terminating, State::Terminating));
     }
 }
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -12,7 +12,6 @@
 mod messages;
 mod node;
 mod ops;
-mod peers;
 mod presence;
 mod watched;
 
@@ -21,6 +20,7 @@
 use hillpick::control::config::{Config, Current};
 use hillpick::control::discovery::Discovery;
 use hillpick::control::log::log;
+use hillpick::control::peers::{Peers, view::View};
 use lifecycle::{Lifecycle, State};
 use messages::Message;
 use std::io;
@@ -96,11 +96,12 @@
     let discovery = Discovery::new(&config, current.clone(), address, messages.clone());
     let ready = discovery.ready();
     let node = node::Node::new(clock, &config, pool, messages.clone(), orders);
-    let view = peers::View::default();
+    let view = View::default();
     let evacuation = config.zones.as_ref().map(|zones| Duration::from_secs_f64(zones.evacuation_s));
-    let peers = peers::Peers::new(&config, view.clone(), messages.clone(), lifecycle.clone(), pair.clone());
-    if let Some(peers) = peers {
-        let socket = peers.bind().await?;
+    let state = lifecycle.watch_state();
+    let peers = Peers::new(&config, view.clone(), messages.clone(), state, pair.clone());
+    if let Some(peers) = peers.map_err(|e| e.to_string())? {
+        let socket = peers.bind().await.map_err(|e| e.to_string())?;
         tokio::task::spawn_local(peers.run(socket));
     }
     let front = front::Front::new(
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -212,3 +212,9 @@
         Message::List(update)
     }
 }
+
+impl From<Tier> for Message {
+    fn from(tier: Tier) -> Self {
+        Message::Tier(tier)
+    }
+}
--- a/src/bin/sillward/ops.rs
+++ b/src/bin/sillward/ops.rs
@@ -3,9 +3,9 @@
 
 use crate::lifecycle::{Lifecycle, State};
 use crate::messages::{Evacuation, Message, ZoneTold};
-use crate::peers::View;
 use bytes::Bytes;
 use hillpick::control::log::log;
+use hillpick::control::peers::view::View;
 use hillpick::control::tcp;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
--- a/src/bin/sillward/peers.rs
+++ b/src/control/peers.rs
@@ -1,27 +1,29 @@
-//! The node's part in membership: datagrams and times in and out of its core, the log of who comes and goes, and what the
-//! module is told of the tier. It decides nothing.
+//! A node's part in membership: datagrams and times in and out of its core, the log of who comes and goes, and what the
+//! node's owner is told of the fleet. It decides nothing: the core in `hillpick_fleet` does, and [`view`] shows what that
+//! knows.
 
-use crate::handover::Pair;
-use crate::lifecycle::{Lifecycle, State};
-use crate::messages::Message;
-use hillpick::Tier;
-use hillpick::control::config::{Config, Fleet, MOST_PEERS};
-use hillpick::control::log::log;
-use hillpick::control::saved_file;
-use hillpick_fleet::{Address, Agreement, Certainty, DATAGRAM, Identity, Membership, Name, Output, Settings};
+#[cfg(test)]
+mod tests;
+pub mod view;
+
+use crate::Tier;
+use crate::control::config::{Config, Fleet, MOST_PEERS};
+use crate::control::log::log;
+use crate::control::process::{Siblings, State};
+use crate::control::saved_file;
+use hillpick_fleet::{Address, BadName, Certainty, DATAGRAM, Identity, Membership, Name, Output, Settings};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
-use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, spawn_blocking};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use view::View;
 
 /// The predecessor in an upgrade holds the address until it goes: it is asked for so often.
 const BIND_PAUSE: Duration = Duration::from_millis(50);
@@ -34,71 +36,6 @@
 /// Datagrams taken in before anything else has its turn.
 const AT_A_TIME: usize = 64;
 
-/// What the node knows of the others: shared with the operators' calls, which only look.
-#[derive(Clone, Default)]
-pub struct View(Rc<RefCell<Option<(Membership, Instant)>>>);
-
-impl View {
-    /// All of it, as JSON; `None` where there is no membership.
-    pub fn tell(&self) -> Option<Value> {
-        let mut view = self.0.borrow_mut();
-        let (core, begun) = view.as_mut()?;
-        let now = begun.elapsed();
-        let agreement = core.agreement(now);
-        let identity = |who: &Identity| {
-            json!({"name": who.name.to_string(), "address": who.address.to_string(), "zone": who.zone,
-                "started_ms": who.started_ms, "renewed": who.renewed, "program": who.program})
-        };
-        let members: Vec<_> = core
-            .members(now)
-            .iter()
-            .map(|member| {
-                let mut told = identity(&member.identity);
-                told["state"] = json!(if member.suspect { "suspect" } else { "alive" });
-                told["incarnation"] = json!(member.incarnation);
-                told["heard_ms_ago"] = json!(member.heard.map(|ago| ago.as_millis() as u64));
-                told
-            })
-            .collect();
-        let departed: Vec<_> = core
-            .departed(now)
-            .map(|(who, cause, ago)| {
-                let mut told = identity(who);
-                told["cause"] = json!(format!("{cause:?}").to_lowercase());
-                told["ms_ago"] = json!(ago.as_millis() as u64);
-                told
-            })
-            .collect();
-        let counters = core.counters();
-        let rejected: serde_json::Map<_, _> =
-            counters.rejected.iter().map(|(why, count)| (why.to_string(), json!(count))).collect();
-        Some(json!({
-            "self": identity(core.me()),
-            "phase": format!("{:?}", core.phase()).to_lowercase(),
-            "displaced_by": core.displaced().map(identity),
-            "health": core.health().score(),
-            "agreement": told_of(&agreement, now),
-            "members": members,
-            "departed": departed,
-            "counters": {"sent": counters.sent, "sent_bytes": counters.sent_bytes, "heard": counters.heard,
-                "rejected": rejected, "doubted": counters.doubted, "renewed": counters.renewed,
-                "spared": counters.spared, "failed": counters.failed, "left": counters.left}
-        }))
-    }
-}
-
-fn told_of(agreement: &Agreement, now: Duration) -> Value {
-    json!({
-        "certainty": format!("{:?}", agreement.certainty).to_lowercase(),
-        "for_ms": now.saturating_sub(agreement.since).as_millis() as u64,
-        "share": agreement.share,
-        "heard": agreement.heard,
-        "members": agreement.members,
-        "could_be_alive": agreement.could_be_alive,
-        "digest": format!("{:016x}", agreement.digest)
-    })
-}
-
 /// What a start finds again of the life before: when that began, and whom it knew.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 struct Saved {
@@ -106,18 +43,48 @@
     members: Vec<(Name, Address)>,
 }
 
-/// Takes part in membership for as long as the process runs.
-pub struct Peers {
+/// Why a node can take no part in membership.
+#[derive(Debug, thiserror::Error)]
+pub enum PeersError {
+    /// The name does not fit into a datagram.
+    #[error(
+        "no membership under the name {name:?}: {source}; give the node another name in its configuration"
+    )]
+    Name {
+        /// The name of the configuration.
+        name: String,
+        /// What is wrong with it.
+        source: BadName,
+    },
+    /// The node's number does not fit into a datagram.
+    #[error("no membership for a node of number {0}: expected {most} at most, or fleet.advertise", most = u16::MAX)]
+    Number(u32),
+    /// The address is another's, or no address of this machine.
+    #[error(
+        "cannot hear the other nodes on {listen}: {source}; see which process has it, or change peer_listen"
+    )]
+    Bind {
+        /// Where the others should be heard.
+        listen: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+}
+
+/// Takes part in membership for as long as the process runs. Its owner hears of the fleet by messages of its own kind,
+/// `M`.
+pub struct Peers<M> {
     fleet: Fleet,
     name: Name,
-    node: u16,
+    /// The address by which the others know it; the port may be open until the socket is bound.
+    advertised: Address,
     nodes: u32,
     zone: u8,
     random: Pcg32,
     view: View,
-    messages: mpsc::Sender<Message>,
-    lifecycle: Rc<Lifecycle>,
-    pair: Rc<Pair>,
+    messages: mpsc::Sender<M>,
+    process: watch::Receiver<State>,
+    siblings: Rc<dyn Siblings>,
     told: Option<Tier>,
     /// The port on which it hears.
     port: u16,
@@ -126,45 +93,61 @@
     saving: Option<JoinHandle<()>>,
 }
 
-impl Peers {
-    /// As the configuration says; `None` where it says nothing of it.
+impl<M: From<Tier>> Peers<M> {
+    /// As the configuration says; `None` where it says nothing of it. `process` is how this process stands, and
+    /// `siblings` which others of the same node there are.
+    ///
+    /// # Errors
+    /// If the node's name or number does not fit into a datagram.
     pub fn new(
         config: &Config,
         view: View,
-        messages: mpsc::Sender<Message>,
-        lifecycle: Rc<Lifecycle>,
-        pair: Rc<Pair>,
-    ) -> Option<Self> {
-        let fleet = config.fleet.clone()?;
+        messages: mpsc::Sender<M>,
+        process: watch::Receiver<State>,
+        siblings: Rc<dyn Siblings>,
+    ) -> Result<Option<Self>, PeersError> {
+        let Some(fleet) = config.fleet.clone() else { return Ok(None) };
         let settings = &config.site.settings;
-        Some(Peers {
-            name: Name::try_from(config.name.clone()).ok()?,
-            node: u16::try_from(settings.node).ok()?,
+        let name = Name::try_from(config.name.as_str())
+            .map_err(|source| PeersError::Name { name: config.name.clone(), source })?;
+        let advertised = match fleet.advertise {
+            Some(address) => Address::Socket(address),
+            None => {
+                let number = u16::try_from(settings.node).map_err(|_| PeersError::Number(settings.node))?;
+                Address::Seat(number)
+            }
+        };
+        Ok(Some(Peers {
+            name,
+            advertised,
             nodes: settings.nodes,
             zone: settings.zone,
             random: Pcg32::seed_from_u64(config.seed.rotate_left(17)),
             fleet,
             view,
             messages,
-            lifecycle,
-            pair,
+            process,
+            siblings,
             told: None,
             port: 0,
             saved: Saved::default(),
             saving: None,
-        })
+        }))
     }
 
     /// The socket on which the others are heard; none yet while the process before this one in an upgrade has it.
-    pub async fn bind(&self) -> Result<Option<UdpSocket>, String> {
+    ///
+    /// # Errors
+    /// If the address can't be had.
+    pub async fn bind(&self) -> Result<Option<UdpSocket>, PeersError> {
         match UdpSocket::bind(self.fleet.listen).await {
             Ok(socket) => {
                 let address = socket.local_addr().unwrap_or(self.fleet.listen);
                 log(format_args!("{} hears its peers on {address}", self.name));
                 Ok(Some(socket))
             }
-            Err(e) if e.kind() == io::ErrorKind::AddrInUse && self.pair.has_predecessor() => Ok(None),
-            Err(e) => Err(format!("cannot hear the other nodes on {}: {e}", self.fleet.listen)),
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && self.siblings.has_predecessor() => Ok(None),
+            Err(source) => Err(PeersError::Bind { listen: self.fleet.listen, source }),
         }
     }
 
@@ -178,23 +161,22 @@
             }
             bound = match self.bind().await {
                 Ok(socket) => socket,
-                Err(what) => return log(what),
+                Err(problem) => return log(problem),
             };
         };
         self.port = socket.local_addr().map(|address| address.port()).unwrap_or_default();
         self.load();
-        let mut phase = self.lifecycle.watch();
+        let mut process = self.process.clone();
         loop {
-            if phase.wait_for(|phase| phase.state != State::Standby).await.is_err() {
-                return;
-            }
-            if phase.borrow().state == State::Terminating {
-                return;
+            match process.wait_for(|state| *state != State::Standby).await.map(|state| *state) {
+                Ok(State::Active) => {}
+                // Nothing follows termination.
+                Ok(State::Terminating | State::Standby) | Err(_) => return,
             }
             self.start();
-            self.take_part(&socket, &mut phase).await;
+            self.take_part(&socket, &mut process).await;
             // A successor takes the name over as it stands; else the others are told, and need not find out.
-            if !self.pair.has_successor() {
+            if !self.siblings.has_successor() {
                 self.leave(&socket).await;
             }
         }
@@ -202,12 +184,11 @@
 
     fn start(&mut self) {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let address = match self.fleet.advertise {
-            None => Address::Seat(self.node),
-            Some(address) if address.port() == 0 => {
+        let address = match self.advertised {
+            Address::Socket(address) if address.port() == 0 => {
                 Address::Socket(SocketAddrV4::new(*address.ip(), self.port))
             }
-            Some(address) => Address::Socket(address),
+            address => address,
         };
         let me = Identity {
             name: self.name,
@@ -242,11 +223,7 @@
         *self.view.0.borrow_mut() = Some((core, Instant::now()));
     }
 
-    async fn take_part(
-        &mut self,
-        socket: &UdpSocket,
-        phase: &mut tokio::sync::watch::Receiver<crate::lifecycle::Phase>,
-    ) {
+    async fn take_part(&mut self, socket: &UdpSocket, process: &mut watch::Receiver<State>) {
         let mut data = [0; DATAGRAM + 1];
         let mut tell_at = Instant::now() + TELL_EVERY;
         let mut save_at = Instant::now() + SAVE_EVERY;
@@ -254,7 +231,7 @@
             let wake = self.wake_at().map_or(tell_at, |at| at.min(tell_at));
             tokio::select! {
                 biased;
-                _ = phase.wait_for(|phase| phase.state != State::Active) => return,
+                _ = process.wait_for(|state| *state != State::Active) => return,
                 // Timers come before datagrams: a flood of these must not keep the node from probing.
                 () = sleep_until(wake) => {
                     let mut out = Vec::new();
@@ -387,7 +364,7 @@
                 could_be_alive: agreement.could_be_alive as u32,
             }
         };
-        if self.told != Some(tier) && self.messages.try_send(Message::Tier(tier)).is_ok() {
+        if self.told != Some(tier) && self.messages.try_send(M::from(tier)).is_ok() {
             self.told = Some(tier); // or the queue is full, and it is told later
             log(format_args!(
                 "the tier: {} live, rank {}, {}",
@@ -407,7 +384,7 @@
         // What is in the socket's buffer goes out by itself.
         let _ = timeout_at(Instant::now() + BIND_PAUSE, socket.writable()).await;
         let alone = Tier { live: 1, rank: 0, agreed: false, could_be_alive: self.nodes };
-        if self.messages.try_send(Message::Tier(alone)).is_ok() {
+        if self.messages.try_send(M::from(alone)).is_ok() {
             self.told = Some(alone);
         }
     }
