Reckon the longest server list from the memory that a node may use

The discovery client's fixed 4 MiB says nothing of what a node can hold. Half of limits.memory_mb at 1 KiB a server makes 98,304 servers at the default of 192 MB; 2,000 are always allowed. Not used yet.

--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -27,6 +27,11 @@
 /// Descriptors for all but connections: standard streams, listener, runtime, discovery, the operators' calls, dials that
 /// end.
 pub const SPARE_SOCKETS: usize = 48;
+/// What a listed server takes of a node's memory at most, in bytes: its places in the module, the pool and the discovery
+/// client, and its part of a list that is being taken in.
+pub const SERVER_BYTES: usize = 1024;
+/// So many servers may always be listed.
+const SHORT_LIST: usize = 2_000;
 /// Members that are kept.
 pub const MOST_PEERS: usize = 2_000;
 
@@ -123,6 +128,8 @@
     pub backend_connections: usize,
     /// How much of clients' bodies may be kept at a time.
     pub body_room_kib: usize,
+    /// The most servers in a list: half of the memory, at [`SERVER_BYTES`] each.
+    pub longest_list: usize,
     /// The list of backends as this node last had it: discovery's JSON, perhaps old.
     pub known: Option<String>,
     /// Membership, if the node takes part in it.
@@ -259,6 +266,7 @@
             // A quarter of the memory; one body at least, or nobody would ever be read.
             body_room_kib: (file.limits.memory_mb.saturating_mul(1024) / 4)
                 .clamp(KEPT_BODY / 1024, Semaphore::MAX_PERMITS),
+            longest_list: (file.limits.memory_mb.saturating_mul(1 << 20) / 2 / SERVER_BYTES).max(SHORT_LIST),
             known: file.known.map(|known| known.get().to_owned()),
             fleet,
             zones,
