Divide membership.rs by what its parts own, and take tests out of the code files

The tests of agreement, health, pages and wire are in tests.rs beside each. Nothing else has changed.

--- /dev/null
+++ b/crates/fleet/src/agreement/tests.rs
@@ -0,0 +1,58 @@
+//! When members agree, and what a digest is of.
+
+use super::*;
+use crate::identity::Address;
+
+const PERIOD: Duration = Duration::from_secs(1);
+
+fn name(number: usize) -> Name {
+    Name::try_from(format!("n{number}")).unwrap()
+}
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn nearly_all_for_some_time_is_agreed() {
+    let mut views = Views::default();
+    (0..9).for_each(|n| views.hear(&name(n), 5, at(0)));
+    assert_eq!(views.judge((10, 5), 10, PERIOD, at(0)).certainty, Certainty::Diverging);
+    let agreed = views.judge((10, 5), 10, PERIOD, at(3));
+    assert_eq!((agreed.certainty, agreed.could_be_alive, agreed.since), (Certainty::Agreed, 10, at(3)));
+    // Two of nine with another view are too many, and what was heard long ago counts no more.
+    views.hear(&name(0), 6, at(3));
+    assert_eq!(views.judge((10, 5), 10, PERIOD, at(3)).share, 8.0 / 9.0);
+    assert_eq!(views.judge((10, 5), 10, PERIOD, at(4)).certainty, Certainty::Diverging);
+    let alone = views.judge((10, 5), 10, PERIOD, at(20));
+    assert_eq!((alone.heard, alone.certainty, alone.could_be_alive), (0, Certainty::Diverging, 10));
+}
+
+/// Half is a minority on both sides: neither may take the other half for dead.
+#[test]
+fn half_of_the_tier_is_a_minority_whatever_they_agree_on() {
+    let mut views = Views::default();
+    (0..4).for_each(|n| views.hear(&name(n), 5, at(0)));
+    views.judge((5, 5), 10, PERIOD, at(0));
+    let half = views.judge((5, 5), 10, PERIOD, at(9));
+    assert_eq!((half.certainty, half.could_be_alive, half.share), (Certainty::Minority, 10, 1.0));
+    views.judge((6, 5), 10, PERIOD, at(9));
+    assert_eq!(views.judge((6, 5), 10, PERIOD, at(10)).certainty, Certainty::Agreed);
+    assert_eq!(Views::default().judge((1, 5), 1, PERIOD, at(0)).certainty, Certainty::Agreed);
+}
+
+#[test]
+fn digests_are_of_lives_and_not_of_an_order() {
+    let member = |number: usize, started_ms: u64| Identity {
+        name: name(number),
+        started_ms,
+        renewed: 0,
+        address: Address::Seat(number as u16),
+        zone: 0,
+        program: 1,
+    };
+    let sum = |members: &[Identity]| members.iter().map(part).fold(0u64, u64::wrapping_add);
+    assert_eq!(sum(&[member(1, 1), member(2, 2)]), sum(&[member(2, 2), member(1, 1)]));
+    assert_ne!(sum(&[member(1, 1), member(2, 2)]), sum(&[member(1, 2), member(2, 1)]));
+    assert_ne!(sum(&[member(1, 1)]), sum(&[Identity { renewed: 1, ..member(1, 1) }]));
+}
