Give attempts up before their deadline only as answers have paid for it

On malanad-web a server goes on with work that was given up, and slows down with what it holds. Attempts were given up after four times the median answer and made again, up to 0.4 for each request that came, so that time-outs brought more of them.

Whether given-up work is freed is told by nothing, so it is taken not to be: an early time-out costs a token, and an answer in time brings 1/64 of one, four at most, none at the start. Sites with two attempts out at once are not touched.

What it asks for is unchanged.

--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -1,6 +1,6 @@
 //! What follows an outcome: a server's health, what it is broken for, and how crowded servers may be.
 
-use super::figures::{LEVELS, SMOOTH};
+use super::figures::{GIVE_UP_SHARE, GIVE_UPS_SAVED, LEVELS, SMOOTH};
 use crate::interface::*;
 use crate::state::{Balancer, Server};
 
@@ -34,6 +34,11 @@
             request.until = self.now + request.terms.class.aim; // so long it may wait for another server
         }
         let tight = 4 * end.elapsed > if late_worth > 0.0 { 5 } else { 3 } * aim.min(left);
+        let early = end.outcome == Outcome::TimedOut && self.now < request.until;
+        self.give_up_tokens -= if early { 1.0 } else { 0.0 };
+        if end.outcome == Outcome::Served && !tight {
+            self.give_up_tokens = (self.give_up_tokens + GIVE_UP_SHARE).min(GIVE_UPS_SAVED);
+        }
         let (finished, waiting) = (end.finished || request.done, request.out() == 0);
         let (now, memory, cut_short) = (self.now, self.memory(), 2 * end.elapsed < aim);
         if let Some(s) = self.servers.get_mut(&end.server) {
--- a/src/policy/send.rs
+++ b/src/policy/send.rs
@@ -104,7 +104,9 @@
             && left > patience * 5 / 4
             && self.retry_tokens >= if again { 2.0 } else { 1.0 };
         let hedged = self.settings.limits.parallel_attempts;
-        let timeout = if more && !hedged { patience } else { left };
+        // What is given up may go on at its server, which nothing tells: where that is frequent, all wait.
+        let gives_up = more && !hedged && self.give_up_tokens >= 1.0;
+        let timeout = if gives_up { patience } else { left };
         let timeout = if arriving { ARRIVING } else { timeout };
         if more && hedged {
             actions.push(Action::SetTimer { after: patience, token: id.0 });
--- a/src/state.rs
+++ b/src/state.rs
@@ -271,6 +271,8 @@
     pub(crate) taken: f64,
     pub(crate) probe_tokens: f64,
     pub(crate) retry_tokens: f64,
+    /// Attempts that may yet be given up before their deadline.
+    pub(crate) give_up_tokens: f64,
     /// Attempts sent, work that arrived, and work answered by warm servers.
     pub(crate) sent: Rate,
     pub(crate) arrived: Rate,
@@ -320,6 +322,7 @@
             taken: Default::default(),
             probe_tokens: Default::default(),
             retry_tokens: Default::default(),
+            give_up_tokens: Default::default(),
             sent: Default::default(),
             arrived: Default::default(),
             carried: Default::default(),
