--- a/src/policy/figures.rs
+++ b/src/policy/figures.rs
@@ -7,8 +7,8 @@
 pub(super) const PRICE_SPEND: f64 = 0.01;
 /// Further attempts, as a share of first attempts: the usual retry budget.
 pub(super) const RETRY_SHARE: f64 = 0.4;
-/// Attempts given up before the deadline, as a share of answers in time: the work of one given up may go on at
-/// its server, beside that of the attempt that follows.
+/// Attempts given up before the deadline, as a share of answers in time: the work of one given up may go on
+/// at its server, beside that of the attempt that follows.
 pub(super) const GIVE_UP_SHARE: f64 = 1.0 / 64.0;
 /// So many of these may be saved: a few servers that hang at once, before their health tells.
 pub(super) const GIVE_UPS_SAVED: f64 = 4.0;
