Rename what membership is made of to the field's terms

Address::Seat is Address::Node, Settings has fleet_size, max_members and local_health for tier, most and doubts_itself; inside the crate constants, timers and methods have names such as TOMBSTONE_TTL, MAX_TRANSMISSIONS, DecodeError, apply_effects, send_page. Names alone: a datagram has the same bytes, and saved members keep the word that they had (a test reads and writes such a file). Where a node's number is shown, it says "node 3" and no longer "seat 3".

--- a/crates/fleet/src/agreement.rs
+++ b/crates/fleet/src/agreement.rs
@@ -17,30 +17,30 @@
 /// How sure a node may be of its view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Certainty {
-    /// Nearly all that it hears hold the same view, have for some time, and it is more than half of the tier.
+    /// Nearly all that it hears hold the same view, have for some time, and it is more than half of the fleet.
     Agreed,
     /// They don't, or not for long, or it hears too few to tell.
     Diverging,
-    /// It sees half of the configured tier or less: the others may be alive where it can't see them.
+    /// It sees half of the configured fleet or less: the others may be alive where it can't see them.
     Minority,
 }
 
 impl Certainty {
-    /// How sure a node may be that holds so many members of a configured tier, where nearly all that it hears have held
+    /// How sure a node may be that holds so many members of a configured fleet, where nearly all that it hears have held
     /// the same view for some time, or not.
-    pub fn of(members: usize, tier: usize, settled: bool) -> Self {
-        if 2 * members <= tier && tier > 1 {
+    pub fn of(members: usize, fleet_size: usize, settled: bool) -> Self {
+        if 2 * members <= fleet_size && fleet_size > 1 {
             Certainty::Minority
-        } else if settled || tier == 1 && members == 1 {
+        } else if settled || fleet_size == 1 && members == 1 {
             Certainty::Agreed
         } else {
             Certainty::Diverging
         }
     }
 
-    /// How many nodes may be alive: the members if that is agreed, else no fewer than the configured tier.
-    pub fn could_be_alive(self, members: usize, tier: usize) -> usize {
-        if self == Certainty::Agreed { members } else { members.max(tier) }
+    /// How many nodes may be alive: the members if that is agreed, else no fewer than the configured fleet.
+    pub fn could_be_alive(self, members: usize, fleet_size: usize) -> usize {
+        if self == Certainty::Agreed { members } else { members.max(fleet_size) }
     }
 
     /// Whether so many of those heard hold the same view that they are nearly all, and enough were heard to tell: three
@@ -65,12 +65,12 @@
     pub members: usize,
     /// The digest of the view.
     pub digest: u64,
-    /// How many nodes may be alive: the members if agreed, else no fewer than the configured tier.
+    /// How many nodes may be alive: the members if agreed, else no fewer than the configured fleet.
     pub could_be_alive: usize,
 }
 
 /// A member's part of a digest. Digests are sums: they don't hang on an order.
-pub fn part(member: &Identity) -> u64 {
+pub fn member_digest(member: &Identity) -> u64 {
     let bytes =
         [member.name.as_str().as_bytes(), &member.started_ms.to_be_bytes(), &member.renewed.to_be_bytes()]
             .concat();
@@ -99,11 +99,11 @@
         self.heard.remove(member);
     }
 
-    /// How far the others agree with a view of so many members and this digest. `tier` is how many nodes are configured.
+    /// How far the others agree with a view of so many members and this digest. `fleet_size` is how many nodes are configured.
     pub fn judge(
         &mut self,
         (members, digest): (usize, u64),
-        tier: usize,
+        fleet_size: usize,
         period: Duration,
         now: Duration,
     ) -> Agreement {
@@ -119,13 +119,13 @@
         }
         let settled =
             self.alike_since.is_some_and(|since| now.saturating_sub(since) >= period * SETTLED_PERIODS);
-        let certainty = Certainty::of(members, tier, settled);
+        let certainty = Certainty::of(members, fleet_size, settled);
         let since = match self.state {
             Some((before, since)) if before == certainty => since,
             _ => now,
         };
         self.state = Some((certainty, since));
-        let could_be_alive = certainty.could_be_alive(members, tier);
+        let could_be_alive = certainty.could_be_alive(members, fleet_size);
         Agreement { certainty, heard, share, since, members, digest, could_be_alive }
     }
 }
--- a/crates/fleet/src/agreement/tests.rs
+++ b/crates/fleet/src/agreement/tests.rs
@@ -47,11 +47,11 @@
         name: name(number),
         started_ms,
         renewed: 0,
-        address: Address::Seat(number as u16),
+        address: Address::Node(number as u16),
         zone: 0,
         program: 1,
     };
-    let sum = |members: &[Identity]| members.iter().map(part).fold(0u64, u64::wrapping_add);
+    let sum = |members: &[Identity]| members.iter().map(member_digest).fold(0u64, u64::wrapping_add);
     assert_eq!(sum(&[member(1, 1), member(2, 2)]), sum(&[member(2, 2), member(1, 1)]));
     assert_ne!(sum(&[member(1, 1), member(2, 2)]), sum(&[member(1, 2), member(2, 1)]));
     assert_ne!(sum(&[member(1, 1)]), sum(&[Identity { renewed: 1, ..member(1, 1) }]));
--- a/crates/fleet/src/identity.rs
+++ b/crates/fleet/src/identity.rs
@@ -59,11 +59,12 @@
 }
 
 /// Where a member is reached. On the platform each node sees the others at addresses of its own, and only a node's
-/// number in the tier means the same to all.
+/// number in the fleet means the same to all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Address {
-    /// Its number in the tier: its place in every node's list of peers.
-    Seat(u16),
+    /// Its number in the fleet: its place in every node's list of peers.
+    #[serde(rename = "Seat")] // the name in files that were saved before
+    Node(u16),
     /// One that all see alike.
     Socket(SocketAddrV4),
 }
@@ -71,7 +72,7 @@
 impl fmt::Display for Address {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Address::Seat(seat) => write!(out, "seat {seat}"),
+            Address::Node(number) => write!(out, "node {number}"),
             Address::Socket(address) => write!(out, "{address}"),
         }
     }
--- a/crates/fleet/src/membership/changes.rs
+++ b/crates/fleet/src/membership/changes.rs
@@ -3,18 +3,18 @@
 use super::leavers::Left;
 use super::send::SWIM;
 use super::settings::config;
-use super::timers::{Suspicion, Waiting};
+use super::timers::{PendingTimer, Suspicion};
 use super::{Cause, Change, Membership, Output};
-use crate::agreement::part;
+use crate::agreement::member_digest;
 use crate::identity::{Identity, Phase};
 use foca::{AccumulatingRuntime, OwnedNotification, Timer};
 use std::time::Duration;
 
 /// A suspicion is so many parts long, and after each but the last the suspect itself is called: at a loss of a fifth each
 /// way, three calls reach it and back 19 times in 20.
-const CALLS: u32 = 4;
+const SUSPICION_PARTS: u32 = 4;
 /// Departures that are kept to be shown.
-const DEPARTED: usize = 256;
+const MAX_DEPARTED: usize = 256;
 
 impl Membership {
     /// This node leaves: it says so to a few at once, and they to all.
@@ -33,14 +33,14 @@
             let _ = self.swim.gossip(&mut effects);
         }
         let _ = self.swim.leave_cluster(&mut effects);
-        self.take(effects, now, out);
+        self.apply_effects(effects, now, out);
     }
 
     /// Its clock was set back since an earlier life: this one's start is put after that one's, or nobody would hear it.
     pub(super) fn start_after(&mut self, started_ms: u64, effects: &mut AccumulatingRuntime<Identity>) {
         let me = Identity { started_ms: started_ms.saturating_add(1), renewed: 0, ..self.me.clone() };
-        self.digest = self.digest.wrapping_sub(part(&self.me)).wrapping_add(part(&me));
-        self.seen.borrow_mut().me = me.clone();
+        self.digest = self.digest.wrapping_sub(member_digest(&self.me)).wrapping_add(member_digest(&me));
+        self.observed.borrow_mut().me = me.clone();
         self.me = me.clone();
         self.counters.renewed += 1;
         // Refused only if it is the same, which it is not.
@@ -55,18 +55,18 @@
     }
 
     /// What SWIM wants done, and what it has found out. Returns how many messages that were.
-    pub(super) fn take(
+    pub(super) fn apply_effects(
         &mut self,
         mut effects: AccumulatingRuntime<Identity>,
         now: Duration,
         out: &mut Vec<Output>,
     ) -> usize {
         while let Some(note) = effects.to_notify() {
-            self.note(note, now, out);
+            self.handle_notification(note, now, out);
         }
         let own = now.saturating_sub(self.lost);
         while let Some((after, timer)) = effects.to_schedule() {
-            let doubts = self.settings.doubts_itself;
+            let doubts = self.settings.local_health;
             let stretched = match timer {
                 Timer::ProbeRandomMember(_)
                 | Timer::SendIndirectProbe { .. }
@@ -80,12 +80,12 @@
             let suspects = matches!(timer, Timer::ChangeSuspectToDown { .. });
             self.suspicions += u64::from(suspects);
             let (after, suspicion) = if suspects && doubts {
-                let part = stretched / CALLS;
-                (part, Some(Suspicion { since: now, part, left: CALLS }))
+                let part = stretched / SUSPICION_PARTS;
+                (part, Some(Suspicion { since: now, part, left: SUSPICION_PARTS }))
             } else {
                 (stretched, None)
             };
-            self.set(own + after, Waiting { timer, suspicion });
+            self.set_timer(own + after, PendingTimer { timer, suspicion });
         }
         let mut sent = 0;
         while let Some((to, body)) = effects.to_send() {
@@ -95,7 +95,12 @@
         sent
     }
 
-    fn note(&mut self, note: OwnedNotification<Identity>, now: Duration, out: &mut Vec<Output>) {
+    fn handle_notification(
+        &mut self,
+        note: OwnedNotification<Identity>,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
         match note {
             OwnedNotification::MemberUp(member) => self.add(member, out),
             OwnedNotification::MemberDown(member) => {
@@ -113,8 +118,9 @@
                 self.phase = if self.phase == Phase::Joining { Phase::Active } else { self.phase };
             }
             OwnedNotification::Rejoin(me) => {
-                self.digest = self.digest.wrapping_sub(part(&self.me)).wrapping_add(part(&me));
-                self.seen.borrow_mut().me = me.clone();
+                self.digest =
+                    self.digest.wrapping_sub(member_digest(&self.me)).wrapping_add(member_digest(&me));
+                self.observed.borrow_mut().me = me.clone();
                 self.me = me;
                 self.counters.renewed += 1;
                 self.health.doubted();
@@ -125,7 +131,7 @@
 
     fn add(&mut self, member: Identity, out: &mut Vec<Output>) {
         let held = self.members.get(&member.name);
-        if held == Some(&member) || held.is_none() && self.members.len() >= self.settings.most {
+        if held == Some(&member) || held.is_none() && self.members.len() >= self.settings.max_members {
             return;
         }
         let before = self.departed.iter().any(|(gone, ..)| gone.name == member.name);
@@ -134,7 +140,7 @@
         if let Some(before) = self.members.get(&member.name).cloned() {
             self.forget(&before);
         }
-        self.digest = self.digest.wrapping_add(part(&member));
+        self.digest = self.digest.wrapping_add(member_digest(&member));
         self.members.insert(member.name, member.clone());
         self.resized();
         out.push(Output::Changed(Change { member, cause }));
@@ -150,7 +156,7 @@
             Cause::Left => self.counters.left += 1,
             _ => self.counters.failed += 1,
         }
-        if self.departed.len() >= DEPARTED {
+        if self.departed.len() >= MAX_DEPARTED {
             self.departed.remove(0);
         }
         self.departed.push((member.clone(), cause, now));
@@ -159,13 +165,13 @@
 
     fn forget(&mut self, member: &Identity) {
         self.members.remove(&member.name);
-        self.digest = self.digest.wrapping_sub(part(member));
+        self.digest = self.digest.wrapping_sub(member_digest(member));
         self.views.forget(&member.name);
     }
 
     /// Suspicion lasts for longer among more members.
     fn resized(&mut self) {
-        self.seen.borrow_mut().known = self.members.len();
+        self.observed.borrow_mut().known = self.members.len();
         // Nothing else of it changes, which is all that could be refused.
         let _ = self.swim.set_config(config(&self.settings, self.members.len() + 1));
     }
--- a/crates/fleet/src/membership/leavers.rs
+++ b/crates/fleet/src/membership/leavers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// How long a dead life is remembered, so that old news of it raises nobody.
-pub(super) const REMEMBERED: Duration = Duration::from_secs(600);
+pub(super) const TOMBSTONE_TTL: Duration = Duration::from_secs(600);
 
 /// News that a member has left by its own will.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,10 +27,10 @@
 /// Those who have said that they leave: the latest life of each name and when that was heard, for as long as a dead life
 /// is remembered.
 #[derive(Clone, Default)]
-pub(super) struct Leavers(Rc<RefCell<Gone>>);
+pub(super) struct Leavers(Rc<RefCell<Departures>>);
 
 #[derive(Default)]
-struct Gone {
+struct Departures {
     by_name: BTreeMap<Name, (u64, Duration)>,
     /// How often there was news.
     news: u64,
@@ -39,10 +39,10 @@
 }
 
 impl Leavers {
-    pub(super) fn note(&self, left: &Left, most: usize) -> bool {
+    pub(super) fn note(&self, left: &Left, max_members: usize) -> bool {
         let gone = &mut *self.0.borrow_mut();
         let known = gone.by_name.get(&left.name).is_some_and(|(started, _)| *started >= left.started_ms);
-        if known || gone.by_name.len() >= most && !gone.by_name.contains_key(&left.name) {
+        if known || gone.by_name.len() >= max_members && !gone.by_name.contains_key(&left.name) {
             return false;
         }
         gone.by_name.insert(left.name, (left.started_ms, gone.now));
@@ -58,14 +58,14 @@
         self.0.borrow().by_name.get(&member.name).is_some_and(|(started, _)| *started >= member.started_ms)
     }
 
-    pub(super) fn is_now(&self, now: Duration) {
+    pub(super) fn set_now(&self, now: Duration) {
         self.0.borrow_mut().now = now;
     }
 
     pub(super) fn prune(&self) {
         let gone = &mut *self.0.borrow_mut();
         let now = gone.now;
-        gone.by_name.retain(|_, (_, at)| now.saturating_sub(*at) < REMEMBERED);
+        gone.by_name.retain(|_, (_, at)| now.saturating_sub(*at) < TOMBSTONE_TTL);
     }
 }
 
--- a/crates/fleet/src/membership/mod.rs
+++ b/crates/fleet/src/membership/mod.rs
@@ -14,12 +14,12 @@
 mod settings;
 mod timers;
 
-use crate::agreement::{Agreement, Views, part};
+use crate::agreement::{Agreement, Views, member_digest};
 use crate::health::Health;
 use crate::identity::{Address, Identity, Name, Phase};
 use crate::pages::Pages;
 use crate::wire::{self, Window};
-use codec::{Seen, Watching};
+use codec::{Observed, ObservingCodec};
 pub use events::{Cause, Change, Counters, Member, Output};
 use foca::Foca;
 use leavers::{Broadcasts, Leavers};
@@ -32,15 +32,15 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::rc::Rc;
 use std::time::Duration;
-use timers::Waiting;
+use timers::PendingTimer;
 
-type Swim = Foca<Identity, Watching, Pcg32, Broadcasts>;
+type Swim = Foca<Identity, ObservingCodec, Pcg32, Broadcasts>;
 
 /// One member's knowledge of all. Times are since any fixed moment of the caller's monotonic clock.
 pub struct Membership {
     settings: Settings,
     swim: Swim,
-    seen: Rc<RefCell<Seen>>,
+    observed: Rc<RefCell<Observed>>,
     leavers: Leavers,
     me: Identity,
     /// When it began, and what its wall clock said then, in ms of Unix time.
@@ -61,7 +61,7 @@
     /// SWIM's timers, and the order in which they were set. They run on this node's own time: what it could not run is
     /// left out of it, or else the time-outs of a stop would all come due at its end.
     timers: BinaryHeap<Reverse<(Duration, u64)>>,
-    waiting: BTreeMap<u64, Waiting>,
+    waiting: BTreeMap<u64, PendingTimer>,
     timers_set: u64,
     /// Suspicions that this node has raised itself.
     suspicions: u64,
@@ -83,15 +83,15 @@
 }
 
 impl Membership {
-    /// A member that knows nobody yet. `seeds` are addresses at which others may be; more than `most` are not tried.
+    /// A member that knows nobody yet. `seeds` are addresses at which others may be; more than `max_members` are not tried.
     pub fn new(me: Identity, settings: Settings, seeds: Vec<Address>, seed: u64, now: Duration) -> Self {
         let mut random = Pcg32::seed_from_u64(seed);
         let leavers = Leavers::default();
-        let seen = Rc::new(RefCell::new(Seen {
+        let observed = Rc::new(RefCell::new(Observed {
             me: me.clone(),
             known: 0,
-            most: settings.most,
-            usurper: None,
+            max_members: settings.max_members,
+            later_process: None,
             earlier: None,
             now_ms: me.started_ms,
             doubted: 0,
@@ -100,20 +100,20 @@
             me.clone(),
             config(&settings, 1),
             Pcg32::seed_from_u64(random.random()),
-            Watching(foca::PostcardCodec, seen.clone()),
-            Broadcasts(leavers.clone(), settings.most),
+            ObservingCodec(foca::PostcardCodec, observed.clone()),
+            Broadcasts(leavers.clone(), settings.max_members),
         );
         // Nodes that start together don't all call at once.
         let seek_at = now + settings.patience.mul_f64(random.random());
         let mut seeds = seeds;
         seeds.retain(|address| *address != me.address);
-        seeds.truncate(settings.most);
+        seeds.truncate(settings.max_members);
         Membership {
             cluster: wire::hash(settings.cluster.as_bytes()),
-            digest: part(&me),
+            digest: member_digest(&me),
             settings,
             swim,
-            seen,
+            observed,
             leavers,
             begun: (now, me.started_ms),
             me,
@@ -198,6 +198,6 @@
     /// How far others agree with this node's view.
     pub fn agreement(&mut self, now: Duration) -> Agreement {
         let view = (self.members.len() + 1, self.digest);
-        self.views.judge(view, self.settings.tier, self.settings.period, now)
+        self.views.judge(view, self.settings.fleet_size, self.settings.period, now)
     }
 }
--- a/crates/fleet/src/membership/receive.rs
+++ b/crates/fleet/src/membership/receive.rs
@@ -1,11 +1,11 @@
 //! What a datagram does.
 
-use super::codec::Unfit;
+use super::codec::DecodeError;
 use super::leavers::Left;
 use super::send::{ASK, HELLO, PAGE, SWIM, WELCOME};
 use super::{Cause, Change, Membership, Output};
 use crate::identity::{Address, Identity, Phase};
-use crate::pages::{Ask, FIT, Page};
+use crate::pages::{Ask, MAX_PAGE_MEMBERS, Page};
 use crate::wire::{self, Head, Rejected, Window};
 use foca::AccumulatingRuntime;
 use std::collections::BTreeMap;
@@ -22,7 +22,7 @@
             return;
         }
         // What is late is noticed by what comes first, a timer or a datagram.
-        self.own_time(now);
+        self.local_time(now);
         match self.try_hear(now, data, out) {
             Ok(()) => self.counters.heard += 1,
             Err(why) => *self.counters.rejected.entry(why).or_default() += 1,
@@ -33,17 +33,17 @@
         let (head, body) = Head::read(data, self.cluster)?;
         let sender = wire::sender(body)?;
         let ran = now.saturating_sub(self.begun.0).as_millis() as u64;
-        self.seen.borrow_mut().now_ms = self.begun.1.saturating_add(ran);
+        self.observed.borrow_mut().now_ms = self.begun.1.saturating_add(ran);
         if sender.name == self.me.name {
             if sender.started_ms > self.me.started_ms {
                 self.displace(sender, out);
             }
             return Err(Rejected::SameName);
         }
-        if self.windows.len() >= self.settings.most && !self.windows.contains_key(&sender.name) {
+        if self.windows.len() >= self.settings.max_members && !self.windows.contains_key(&sender.name) {
             let members = &self.members;
             self.windows.retain(|name, _| members.contains_key(name));
-            if self.windows.len() >= self.settings.most {
+            if self.windows.len() >= self.settings.max_members {
                 return Err(Rejected::Garbage);
             }
         }
@@ -61,67 +61,68 @@
         match kind {
             HELLO | WELCOME => {
                 if kind == HELLO {
-                    self.greet(WELCOME, sender.address, out);
+                    self.send_identity(WELCOME, sender.address, out);
                 }
                 // Either way there is somebody to ask who else there is.
                 if !self.members.contains_key(&sender.name) {
                     let _ = self.swim.announce(sender.clone(), &mut effects);
-                    self.ask(sender.address, out);
+                    self.request_page(sender.address, out);
                 }
             }
             ASK => {
                 let ((_, ask), _) =
-                    postcard::take_from_bytes::<(Identity, Ask)>(body).map_err(wire::unread)?;
+                    postcard::take_from_bytes::<(Identity, Ask)>(body).map_err(wire::decode_error)?;
                 if self.pages.may_give() {
-                    self.give(&ask, sender.address, out);
+                    self.send_page(&ask, sender.address, out);
                 }
                 if !self.members.contains_key(&sender.name) {
                     let _ = self.swim.announce(sender.clone(), &mut effects);
                 }
             }
             PAGE => {
-                let rest = postcard::take_from_bytes::<Identity>(body).map_err(wire::unread)?.1;
+                let rest = postcard::take_from_bytes::<Identity>(body).map_err(wire::decode_error)?.1;
                 let page = Page::read(rest)?;
                 self.pages.came(&page);
                 let before = self.digest;
-                let read = self.read_page(page, &mut effects, out);
-                self.take(std::mem::take(&mut effects), now, out);
+                let read = self.apply_page(page, &mut effects, out);
+                self.apply_effects(std::mem::take(&mut effects), now, out);
                 read?;
                 // What taught something is worth going on with.
                 if self.digest != before && self.digest != head.digest {
-                    self.ask(sender.address, out);
+                    self.request_page(sender.address, out);
                 }
             }
             SWIM => {
                 let heard = self.swim.handle_data(body, &mut effects);
-                let earlier = self.seen.borrow_mut().earlier.take();
+                let earlier = self.observed.borrow_mut().earlier.take();
                 if let Some(started_ms) = earlier {
                     self.start_after(started_ms, &mut effects);
-                    self.take(effects, now, out);
+                    self.apply_effects(effects, now, out);
                     return Err(Rejected::SameName);
                 }
-                let usurper = self.seen.borrow_mut().usurper.take();
-                if let Some(usurper) = usurper {
-                    self.displace(usurper, out);
+                let later_process = self.observed.borrow_mut().later_process.take();
+                if let Some(later_process) = later_process {
+                    self.displace(later_process, out);
                     return Err(Rejected::SameName);
                 }
                 if heard.is_err() {
-                    self.take(effects, now, out);
+                    self.apply_effects(effects, now, out);
                     return Err(Rejected::Garbage);
                 }
             }
             _ => return Err(Rejected::Garbage),
         }
-        self.take(effects, now, out);
+        self.apply_effects(effects, now, out);
         if head.phase == Phase::Leaving {
-            self.leavers.note(&Left { name: sender.name, started_ms: sender.started_ms }, self.settings.most);
+            self.leavers
+                .note(&Left { name: sender.name, started_ms: sender.started_ms }, self.settings.max_members);
         }
         if self.members.contains_key(&sender.name) {
             self.views.hear(&sender.name, head.digest, now);
             self.ask_if_differing(&sender, head.digest, now, out);
         }
-        self.look_again(out);
-        let doubted = std::mem::take(&mut self.seen.borrow_mut().doubted);
+        self.reclassify_departed(out);
+        let doubted = std::mem::take(&mut self.observed.borrow_mut().doubted);
         if doubted > 0 {
             self.counters.doubted += doubted;
             self.health.doubted();
@@ -130,7 +131,7 @@
     }
 
     /// That a member has left may be heard after that it is gone: then it had not failed.
-    fn look_again(&mut self, out: &mut Vec<Output>) {
+    fn reclassify_departed(&mut self, out: &mut Vec<Output>) {
         let news = self.leavers.news();
         if news == self.leavers_seen {
             return;
@@ -153,11 +154,11 @@
             return;
         }
         self.ask_at = own + self.health.stretch(self.settings.period / ASK_EVERY);
-        self.ask(sender.address, out);
+        self.request_page(sender.address, out);
     }
 
     /// Asks for the next page of another's list.
-    fn ask(&mut self, to: Address, out: &mut Vec<Output>) {
+    fn request_page(&mut self, to: Address, out: &mut Vec<Output>) {
         let Some(ask) = self.pages.ask() else { return };
         if let Ok(body) = postcard::to_allocvec(&(&self.me, &ask)) {
             self.send(ASK, to, &body, out);
@@ -165,12 +166,12 @@
     }
 
     /// The page that comes after a name. A suspect is told as a living one: who doubts it says so by SWIM.
-    fn give(&mut self, ask: &Ask, to: Address, out: &mut Vec<Output>) {
+    fn send_page(&mut self, ask: &Ask, to: Address, out: &mut Vec<Output>) {
         let from = ask.after.map_or(Bound::Unbounded, Bound::Excluded);
         let mut some: BTreeMap<_, _> = self
             .members
             .range((from, Bound::Unbounded))
-            .take(FIT)
+            .take(MAX_PAGE_MEMBERS)
             .map(|(_, identity)| (identity, 0))
             .collect();
         for member in self.swim.iter_membership_state() {
@@ -183,25 +184,25 @@
     }
 
     /// Others know what is on a page: it is taken in, and not passed on.
-    fn read_page(
+    fn apply_page(
         &mut self,
         page: Page,
         effects: &mut AccumulatingRuntime<Identity>,
         out: &mut Vec<Output>,
     ) -> Result<(), Rejected> {
         for (identity, incarnation) in page.members {
-            let taken = self.seen.borrow_mut().take_in(&identity, foca::State::Alive);
+            let taken = self.observed.borrow_mut().take_in(&identity, foca::State::Alive);
             match taken {
-                Err(Unfit::Usurped) => {
-                    self.seen.borrow_mut().usurper = None;
-                    let earlier = self.seen.borrow_mut().earlier.take();
+                Err(DecodeError::NameTaken) => {
+                    self.observed.borrow_mut().later_process = None;
+                    let earlier = self.observed.borrow_mut().earlier.take();
                     match earlier {
                         Some(started_ms) => self.start_after(started_ms, effects),
                         None => self.displace(identity, out),
                     }
                     return Err(Rejected::SameName);
                 }
-                Err(Unfit::Malformed) => return Err(Rejected::Garbage),
+                Err(DecodeError::Malformed) => return Err(Rejected::Garbage),
                 Ok(()) => {}
             }
             // What it says of this node's own name is older, or this node itself; and most is known already.
--- a/crates/fleet/src/membership/send.rs
+++ b/crates/fleet/src/membership/send.rs
@@ -14,12 +14,12 @@
 pub(super) const ASK: u8 = 3;
 pub(super) const PAGE: u8 = 4;
 /// Addresses that a newcomer tries in a period, and a member in ten: those may be of a part that was cut off.
-const TRIES: usize = 3;
+const JOIN_ATTEMPTS: usize = 3;
 
 impl Membership {
     /// Calls at some of the addresses where others may be: at each turn while it knows nobody, and now and then later, at
     /// those where it knows nobody.
-    pub(super) fn seek(&mut self, out: &mut Vec<Output>) {
+    pub(super) fn probe_unknown(&mut self, out: &mut Vec<Output>) {
         self.turns += 1;
         let alone = self.members.is_empty();
         if !alone && self.turns % 10 != 0 {
@@ -28,13 +28,13 @@
         let known: std::collections::BTreeSet<_> =
             self.members.values().map(|member| member.address).collect();
         let unknown: Vec<_> = self.seeds.iter().filter(|address| !known.contains(address)).copied().collect();
-        let some: Vec<_> = unknown.choose_multiple(&mut self.random, TRIES).copied().collect();
+        let some: Vec<_> = unknown.choose_multiple(&mut self.random, JOIN_ATTEMPTS).copied().collect();
         for to in some {
-            self.greet(HELLO, to, out);
+            self.send_identity(HELLO, to, out);
         }
     }
 
-    pub(super) fn greet(&mut self, kind: u8, to: Address, out: &mut Vec<Output>) {
+    pub(super) fn send_identity(&mut self, kind: u8, to: Address, out: &mut Vec<Output>) {
         if let Ok(body) = postcard::to_allocvec(&self.me) {
             self.send(kind, to, &body, out);
         }
--- a/crates/fleet/src/membership/settings.rs
+++ b/crates/fleet/src/membership/settings.rs
@@ -1,6 +1,6 @@
 //! What a member is told, and SWIM's settings that follow from it.
 
-use super::leavers::REMEMBERED;
+use super::leavers::TOMBSTONE_TTL;
 use crate::wire::BODY;
 use foca::PeriodicParams;
 use std::num::{NonZeroU8, NonZeroUsize};
@@ -8,11 +8,11 @@
 
 /// A suspect is dead after so many periods for each factor of ten members (memberlist's rule, with half its multiple:
 /// the fleet's periods are short beside its deadlines for knowing).
-const SUSPICION: f64 = 2.0;
+const SUSPICION_PERIODS: f64 = 2.0;
 /// Members asked to probe in one's stead (SWIM's k).
-const INDIRECT: NonZeroUsize = NonZeroUsize::new(3).unwrap();
+const INDIRECT_PROBES: NonZeroUsize = NonZeroUsize::new(3).unwrap();
 /// Times that each piece of news is passed on by each member (foca's advice for large clusters is 15).
-const PASSED_ON: NonZeroU8 = NonZeroU8::new(10).unwrap();
+const MAX_TRANSMISSIONS: NonZeroU8 = NonZeroU8::new(10).unwrap();
 
 /// What a member is told.
 #[derive(Clone, Debug, PartialEq)]
@@ -20,28 +20,28 @@
     /// The cluster's name: others' datagrams are dropped.
     pub cluster: String,
     /// How many nodes are configured.
-    pub tier: usize,
+    pub fleet_size: usize,
     /// How often a member probes another.
     pub period: Duration,
     /// How long it waits for the answer before it asks others to probe; well under half of a period.
     pub patience: Duration,
     /// No more members than this are kept.
-    pub most: usize,
+    pub max_members: usize,
     /// Whether the node doubts itself (Lifeguard's idea) and calls a suspect before it takes others for dead; without it,
     /// for comparison alone, time-outs are what they are, and those of a stop come due at its end.
-    pub doubts_itself: bool,
+    pub local_health: bool,
 }
 
 impl Settings {
     /// The usual ones: a probe a second, 300 ms for its answer (peers' messages take up to 14 ms each way), 2,000 members.
-    pub fn usual(cluster: &str, tier: usize) -> Self {
+    pub fn usual(cluster: &str, fleet_size: usize) -> Self {
         Settings {
             cluster: cluster.into(),
-            tier,
+            fleet_size,
             period: Duration::from_secs(1),
             patience: Duration::from_millis(300),
-            most: 2_000,
-            doubts_itself: true,
+            max_members: 2_000,
+            local_health: true,
         }
     }
 }
@@ -56,10 +56,10 @@
     foca::Config {
         probe_period: settings.period,
         probe_rtt: settings.patience,
-        num_indirect_probes: INDIRECT,
-        max_transmissions: PASSED_ON,
-        suspect_to_down_after: settings.period.mul_f64(SUSPICION * factors),
-        remove_down_after: REMEMBERED,
+        num_indirect_probes: INDIRECT_PROBES,
+        max_transmissions: MAX_TRANSMISSIONS,
+        suspect_to_down_after: settings.period.mul_f64(SUSPICION_PERIODS * factors),
+        remove_down_after: TOMBSTONE_TTL,
         max_packet_size: NonZeroUsize::new(BODY).unwrap_or(NonZeroUsize::MIN),
         notify_down_members: true,
         periodic_announce: few(settings.period * 30, 1),
--- a/crates/fleet/src/membership/timers.rs
+++ b/crates/fleet/src/membership/timers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// One of SWIM's timers that waits; a suspicion waits in parts.
-pub(super) struct Waiting {
+pub(super) struct PendingTimer {
     pub(super) timer: Timer<Identity>,
     pub(super) suspicion: Option<Suspicion>,
 }
@@ -31,10 +31,10 @@
     }
 
     /// This node's own time: what it was late is left out. Being late is also what it doubts itself for.
-    pub(super) fn own_time(&mut self, now: Duration) -> Duration {
-        self.leavers.is_now(now);
+    pub(super) fn local_time(&mut self, now: Duration) -> Duration {
+        self.leavers.set_now(now);
         let own = now.saturating_sub(self.lost);
-        if !self.settings.doubts_itself {
+        if !self.settings.local_health {
             return own;
         }
         let due = self.timers.peek().map_or(self.seek_at, |Reverse((at, _))| *at).min(self.seek_at);
@@ -52,11 +52,11 @@
         if self.displaced.is_some() || self.phase == Phase::Leaving {
             return;
         }
-        let own = self.own_time(now);
+        let own = self.local_time(now);
         while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= own) {
             let Some(Reverse((_, number))) = self.timers.pop() else { break };
             let Some(waiting) = self.waiting.remove(&number) else { continue };
-            let Some(timer) = self.ripe(waiting, own, out) else { continue };
+            let Some(timer) = self.expire(waiting, own, out) else { continue };
             let mut effects = AccumulatingRuntime::new();
             let (indirect, next) = (
                 matches!(timer, Timer::SendIndirectProbe { .. }),
@@ -65,7 +65,7 @@
             let suspects = self.suspicions;
             // An error here is a message that could not be made: there is none to send then.
             let _ = self.swim.handle_timer(timer, &mut effects);
-            let sent = self.take(effects, now, out);
+            let sent = self.apply_effects(effects, now, out);
             if indirect {
                 self.unanswered = sent > 0;
             }
@@ -76,16 +76,21 @@
             }
         }
         if own >= self.seek_at {
-            self.period_over();
-            self.seek(out);
+            self.end_period();
+            self.probe_unknown(out);
             self.seek_at = own + self.settings.period;
         }
     }
 
     /// A timer that has come due, if it is to be carried out now. A suspect that has been heard since is not dead, whatever
     /// became of the probes; one that has not is called, until the last part of the suspicion is over.
-    fn ripe(&mut self, waiting: Waiting, own: Duration, out: &mut Vec<Output>) -> Option<Timer<Identity>> {
-        let Waiting { timer, suspicion } = waiting;
+    fn expire(
+        &mut self,
+        waiting: PendingTimer,
+        own: Duration,
+        out: &mut Vec<Output>,
+    ) -> Option<Timer<Identity>> {
+        let PendingTimer { timer, suspicion } = waiting;
         let (Timer::ChangeSuspectToDown { member_id, .. }, Some(mut it)) = (&timer, suspicion) else {
             return Some(timer);
         };
@@ -98,20 +103,20 @@
         if it.left == 0 {
             return Some(timer);
         }
-        self.greet(HELLO, member_id.address, out);
+        self.send_identity(HELLO, member_id.address, out);
         let at = own + it.part;
-        self.set(at, Waiting { timer, suspicion: Some(it) });
+        self.set_timer(at, PendingTimer { timer, suspicion: Some(it) });
         None
     }
 
-    pub(super) fn set(&mut self, at: Duration, waiting: Waiting) {
+    pub(super) fn set_timer(&mut self, at: Duration, waiting: PendingTimer) {
         self.timers_set += 1;
         self.timers.push(Reverse((at, self.timers_set)));
         self.waiting.insert(self.timers_set, waiting);
     }
 
     /// A period of its own time has gone by, and it was there.
-    fn period_over(&mut self) {
+    fn end_period(&mut self) {
         let known = self.members.len();
         let grows = known > self.known_before + self.known_before / 10;
         self.known_before = known;
--- a/crates/fleet/src/pages.rs
+++ b/crates/fleet/src/pages.rs
@@ -8,13 +8,13 @@
 
 /// Pages asked for in a probe period, while each teaches something: a list of 2,000 in about six periods, and no more
 /// than 8 KB a period at any size.
-const ASKED: u32 = 32;
+const MAX_PAGE_REQUESTS: u32 = 32;
 /// Pages given in a period: to two who ask at full speed.
-const GIVEN: u32 = 64;
+const MAX_PAGES_SENT: u32 = 64;
 
 /// No more members than this fit a page: the shortest identity takes 12 bytes. One more, so that a page knows whether
 /// it is the last.
-pub const FIT: usize = BODY / 12 + 1;
+pub const MAX_PAGE_MEMBERS: usize = BODY / 12 + 1;
 
 /// A body that begins with its sender and goes on with this: the page that comes after a name.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -59,7 +59,7 @@
         };
         let mut members = Vec::new();
         while !rest.is_empty() {
-            let (member, after) = postcard::take_from_bytes(rest).map_err(crate::wire::unread)?;
+            let (member, after) = postcard::take_from_bytes(rest).map_err(crate::wire::decode_error)?;
             members.push(member);
             rest = after;
         }
@@ -85,13 +85,13 @@
     /// The next page to ask for; `None` when this period's allowance is spent.
     pub fn ask(&mut self) -> Option<Ask> {
         self.asked += 1;
-        (self.asked <= ASKED).then_some(Ask { after: self.after })
+        (self.asked <= MAX_PAGE_REQUESTS).then_some(Ask { after: self.after })
     }
 
     /// Whether another may be given a page.
     pub fn may_give(&mut self) -> bool {
         self.given += 1;
-        self.given <= GIVEN
+        self.given <= MAX_PAGES_SENT
     }
 
     /// A page has come: the next one begins after it.
--- a/crates/fleet/src/pages/tests.rs
+++ b/crates/fleet/src/pages/tests.rs
@@ -42,8 +42,8 @@
 #[test]
 fn allowances_end_and_are_renewed() {
     let mut pages = Pages::default();
-    assert_eq!((0..100).filter(|_| pages.ask().is_some()).count(), ASKED as usize);
-    assert_eq!((0..100).filter(|_| pages.may_give()).count(), GIVEN as usize);
+    assert_eq!((0..100).filter(|_| pages.ask().is_some()).count(), MAX_PAGE_REQUESTS as usize);
+    assert_eq!((0..100).filter(|_| pages.may_give()).count(), MAX_PAGES_SENT as usize);
     pages.renew();
     assert!(pages.ask().is_some() && pages.may_give());
 }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -114,11 +114,11 @@
 
 /// The sender of a body: SWIM's messages begin with it.
 pub fn sender(body: &[u8]) -> Result<Identity, Rejected> {
-    postcard::take_from_bytes(body).map(|(sender, _)| sender).map_err(unread)
+    postcard::take_from_bytes(body).map(|(sender, _)| sender).map_err(decode_error)
 }
 
 /// Why a body could not be read.
-pub fn unread(error: postcard::Error) -> Rejected {
+pub fn decode_error(error: postcard::Error) -> Rejected {
     match error {
         postcard::Error::DeserializeUnexpectedEnd => Rejected::Truncated,
         _ => Rejected::Garbage,
--- a/crates/fleet/tests/hard_cases.rs
+++ b/crates/fleet/tests/hard_cases.rs
@@ -70,15 +70,15 @@
     (0..20).for_each(|node| net.kill(node));
     net.run(3.0);
     for node in 0..20 {
-        // A third of the lists holds only seats at which nobody is any more, and one's own.
-        let seeds = (0..20).filter(|seat| seat % 2 == node % 2 || node % 5 == 0);
-        let mut seeds: Vec<_> = seeds.map(|seat| Address::Seat(seat as u16)).collect();
+        // A third of the lists holds only addresses at which nobody is any more, and one's own.
+        let seeds = (0..20).filter(|number| number % 2 == node % 2 || node % 5 == 0);
+        let mut seeds: Vec<_> = seeds.map(|number| Address::Node(number as u16)).collect();
         if node % 3 == 1 {
-            seeds = vec![Address::Seat(900), Address::Seat(901), Address::Seat(node as u16)];
+            seeds = vec![Address::Node(900), Address::Node(901), Address::Node(node as u16)];
         }
         net.start_with(node, seeds);
     }
-    // Those with dead lists know nobody, and are found by those who know their seats.
+    // Those with dead lists know nobody, and are found by those who know their addresses.
     net.converges(2.0 * BOUND);
 }
 
@@ -149,8 +149,8 @@
         net.kill(1);
         net.run(waits);
         net.nodes[1].identity.started_ms -= 3_600_000;
-        let seats = net.seats();
-        net.start_as_it_is(1, seats);
+        let addresses = net.addresses();
+        net.start_as_it_is(1, addresses);
         net.converges(BOUND);
         assert!(!net.nodes[1].displaced);
         let core = net.nodes[1].core.as_ref().unwrap();
@@ -164,9 +164,9 @@
 /// At two fifths lost each way nearly half of all probes fail, by way of others too: a suspect is called before it is dead.
 #[test]
 fn a_suspect_that_answers_a_call_is_not_taken_for_dead() {
-    let deaths = |doubts_itself: bool| {
+    let deaths = |local_health: bool| {
         let mut net = Net::new(30, 23);
-        net.settings.doubts_itself = doubts_itself;
+        net.settings.local_health = local_health;
         (0..30).for_each(|node| net.start(node));
         net.converges(60.0);
         let since = net.now;
@@ -196,7 +196,7 @@
 fn the_same_name_at_a_new_address_and_the_same_address_with_a_new_name() {
     let mut net = Net::settled(8, 10);
     net.kill(3);
-    net.nodes[3].identity.address = Address::Seat(700);
+    net.nodes[3].identity.address = Address::Node(700);
     net.start(3);
     net.converges(BOUND);
     net.kill(4);
@@ -210,7 +210,7 @@
     let mut net = Net::settled(6, 11);
     net.kill(5);
     net.run(15.0);
-    net.start_with(5, vec![Address::Seat(800), Address::Seat(801)]);
+    net.start_with(5, vec![Address::Node(800), Address::Node(801)]);
     net.converges(2.0 * BOUND);
 }
 
@@ -218,7 +218,7 @@
 #[test]
 fn two_processes_that_claim_one_name() {
     let mut net = Net::settled(8, 12);
-    let twin = clone_of(&net, 2, Address::Seat(600));
+    let twin = clone_of(&net, 2, Address::Node(600));
     net.nodes.push(twin);
     net.start(8);
     net.run(20.0);
@@ -309,7 +309,7 @@
     let mut foreign = Membership::new(
         other.nodes[1].identity.clone(),
         other.settings.clone(),
-        vec![Address::Seat(0)],
+        vec![Address::Node(0)],
         1,
         now,
     );
@@ -341,7 +341,7 @@
 #[test]
 fn no_more_members_than_the_bound_are_kept() {
     let mut net = Net::new(12, 21);
-    net.settings = Settings { most: 5, ..net.settings.clone() };
+    net.settings = Settings { max_members: 5, ..net.settings.clone() };
     (0..12).for_each(|node| net.start(node));
     net.run(30.0);
     for node in net.live() {
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -61,7 +61,7 @@
 }
 
 impl Net {
-    /// So many nodes with a seat each, none of which runs yet.
+    /// So many nodes with a number each, none of which runs yet.
     pub fn new(nodes: usize, seed: u64) -> Self {
         let node = |number: usize| Node {
             core: None,
@@ -69,7 +69,7 @@
                 name: name(number),
                 started_ms: 1_000_000,
                 renewed: 0,
-                address: Address::Seat(number as u16),
+                address: Address::Node(number as u16),
                 zone: (number % 3) as u8,
                 program: 1,
             },
@@ -110,14 +110,14 @@
         self.queue.push(Reverse((at, self.order, node, life, ev)));
     }
 
-    /// A node starts; its seeds are all other seats.
+    /// A node starts; its seeds are all other addresses.
     pub fn start(&mut self, node: usize) {
-        self.start_with(node, self.seats());
+        self.start_with(node, self.addresses());
     }
 
     /// The addresses that all know.
-    pub fn seats(&self) -> Vec<Address> {
-        (0..self.nodes.len()).map(|seat| Address::Seat(seat as u16)).collect()
+    pub fn addresses(&self) -> Vec<Address> {
+        (0..self.nodes.len()).map(|number| Address::Node(number as u16)).collect()
     }
 
     pub fn start_with(&mut self, node: usize, seeds: Vec<Address>) {
--- a/crates/lab/src/strategy/members.rs
+++ b/crates/lab/src/strategy/members.rs
@@ -1,5 +1,5 @@
 //! The module with membership beside it, as a node runs them: the same core that the node drives over UDP, here over the
-//! emulated network. The module hears of the tier; nothing else of it differs.
+//! emulated network. The module hears of the fleet; nothing else of it differs.
 
 use super::Strategy;
 use hillpick::{Action, Balancer, Event, Settings, Tier};
@@ -8,13 +8,13 @@
 
 /// The token of membership's timer: the module has the last one, and requests have small ones.
 const TOKEN: u64 = u64::MAX - 1;
-/// The module hears of the tier so often, if there is news: as the node does it.
+/// The module hears of the fleet so often, if there is news: as the node does it.
 const TELL_EVERY: Duration = Duration::from_millis(500);
 
 /// What a node has found out of its members, for who measures it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Found {
-    /// Who, by its number in the tier.
+    /// Who, by its number in the fleet.
     pub who: u32,
     /// How.
     pub cause: Cause,
@@ -25,7 +25,7 @@
     balancer: Balancer,
     settings: Settings,
     seed: u64,
-    doubts_itself: bool,
+    local_health: bool,
     members: Option<Membership>,
     wake: Option<Duration>,
     tell_at: Duration,
@@ -35,12 +35,12 @@
 
 impl WithMembers {
     /// A node that has just started, which doubts itself or does not.
-    pub fn new(settings: Settings, seed: u64, doubts_itself: bool) -> Self {
+    pub fn new(settings: Settings, seed: u64, local_health: bool) -> Self {
         WithMembers {
             balancer: Balancer::new(settings.clone(), seed),
             settings,
             seed,
-            doubts_itself,
+            local_health,
             members: None,
             wake: None,
             tell_at: Duration::ZERO,
@@ -56,13 +56,13 @@
             name,
             started_ms: now.as_millis() as u64,
             renewed: 0,
-            address: Address::Seat(node as u16),
+            address: Address::Node(node as u16),
             zone: self.settings.zone,
             program: 1,
         };
-        let seeds = (0..self.settings.nodes).map(|seat| Address::Seat(seat as u16)).collect();
+        let seeds = (0..self.settings.nodes).map(|number| Address::Node(number as u16)).collect();
         let members = Members {
-            doubts_itself: self.doubts_itself,
+            local_health: self.local_health,
             ..Members::usual("lab", self.settings.nodes as usize)
         };
         Membership::new(me, members, seeds, self.seed, now)
@@ -71,8 +71,8 @@
     fn carry_out(&mut self, out: Vec<Output>, actions: &mut Vec<Action>) {
         for output in out {
             match output {
-                Output::Send { to: Address::Seat(seat), data } => {
-                    actions.push(Action::Tell { to: Some(seat.into()), data });
+                Output::Send { to: Address::Node(number), data } => {
+                    actions.push(Action::Tell { to: Some(number.into()), data });
                 }
                 Output::Changed(change) => {
                     let who = String::from(change.member.name);
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -27,7 +27,7 @@
 
 /// The predecessor in an upgrade holds the address until it goes: it is asked for so often.
 const BIND_PAUSE: Duration = Duration::from_millis(50);
-/// The module hears of the tier so often, if there is news.
+/// The module hears of the fleet so often, if there is news.
 const TELL_EVERY: Duration = Duration::from_millis(500);
 /// An answer to a probe is waited for so long, as a part of the period.
 const PATIENCE: f64 = 0.3;
@@ -114,7 +114,7 @@
             Some(address) => Address::Socket(address),
             None => {
                 let number = u16::try_from(settings.node).map_err(|_| PeersError::Number(settings.node))?;
-                Address::Seat(number)
+                Address::Node(number)
             }
         };
         Ok(Some(Peers {
@@ -202,17 +202,17 @@
         self.saved.started_ms = me.started_ms;
         let settings = Settings {
             cluster: self.fleet.cluster.clone(),
-            tier: self.nodes as usize,
+            fleet_size: self.nodes as usize,
             period: self.fleet.period,
             patience: self.fleet.period.mul_f64(PATIENCE),
-            most: MOST_PEERS,
-            doubts_itself: true,
+            max_members: MOST_PEERS,
+            local_health: true,
         };
-        let seat = |(seat, peer): (usize, &SocketAddr)| match (self.fleet.advertise, peer) {
+        let address = |(number, peer): (usize, &SocketAddr)| match (self.fleet.advertise, peer) {
             (Some(_), SocketAddr::V4(peer)) => Address::Socket(*peer),
-            _ => Address::Seat(seat as u16),
+            _ => Address::Node(number as u16),
         };
-        let mut seeds: Vec<_> = self.fleet.peers.iter().enumerate().map(seat).collect();
+        let mut seeds: Vec<_> = self.fleet.peers.iter().enumerate().map(address).collect();
         for (_, address) in &self.saved.members {
             if !seeds.contains(address) {
                 seeds.push(*address);
@@ -324,8 +324,8 @@
     fn carry_out(&self, socket: &UdpSocket, out: Vec<Output>) {
         for output in out {
             match output {
-                Output::Send { to: Address::Seat(seat), data } => {
-                    if let Some(to) = self.fleet.peers.get(usize::from(seat)) {
+                Output::Send { to: Address::Node(number), data } => {
+                    if let Some(to) = self.fleet.peers.get(usize::from(number)) {
                         let _ = socket.try_send_to(&data, *to); // a full buffer loses it, as a network may
                     }
                 }
@@ -349,7 +349,7 @@
         }
     }
 
-    /// The module hears of the tier, if that has changed.
+    /// The module hears of the fleet, if that has changed.
     fn tell(&mut self) {
         let tier = {
             let mut view = self.view.0.borrow_mut();
--- a/src/control/peers/tests.rs
+++ b/src/control/peers/tests.rs
@@ -91,3 +91,12 @@
         assert!(text.contains(&taken.to_string()) && text.contains("change peer_listen"), "{text}");
     });
 }
+
+/// Files of versions before have another word for a node's number; they are read, and written the same.
+#[test]
+fn members_that_a_version_before_saved_are_read() {
+    let text = r#"{"started_ms":7,"members":[["n1",{"Seat":3}],["n2",{"Socket":"10.0.0.4:7946"}]]}"#;
+    let saved: Saved = serde_json::from_str(text).expect("a list");
+    assert_eq!(saved.members[0].1, Address::Node(3));
+    assert_eq!(serde_json::to_string(&saved).expect("a text"), text);
+}
