--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -194,7 +194,7 @@
 
 const BEAT: Duration = Duration::from_millis(500);
 
-fn chunk(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+pub fn chunk(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
     stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
 }
 
@@ -293,7 +293,7 @@
         let lingers_not = Some(Duration::ZERO);
         self.try_to(|stream| Ok(rustix::net::sockopt::set_socket_linger(stream, lingers_not)?));
     }
-    fn try_to(&self, act: impl FnOnce(&mut TcpStream) -> std::io::Result<()>) -> bool {
+    pub fn try_to(&self, act: impl FnOnce(&mut TcpStream) -> std::io::Result<()>) -> bool {
         act(&mut self.stream.lock().expect("the stream")).is_ok()
     }
     /// For as long as the test holds this.
@@ -480,6 +480,11 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
     }
 
+    /// What the system tells of it, under `/proc`.
+    pub fn system_file(&self, name: &str) -> String {
+        std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id())).expect("its state")
+    }
+
     /// The most memory that it has had, in bytes.
     pub fn peak(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its state");
