--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -43,7 +43,7 @@
 const QUEUE: u32 = 4096;
 
 /// A configuration of so many bytes is read at SIGHUP where requests are served; a longer one on a thread of its own.
-/// The read takes about a millisecond for so many, of the 3.4 ms by which a request may be late.
+/// Chosen, and not measured by itself: requests may be late by 3.4 ms, and `benches/settings.rs` shows by how much they are.
 const READ_BETWEEN_REQUESTS: u64 = 64 * 1024;
 
 fn main() -> ExitCode {
