Take 4,900 members, and 9,800 at the bound: no scan of the peers for a datagram

A fleet of 4,900 was refused at the start (MOST_PEERS 2,000). The bound is 9,800 now, twice the planned fleet, as while one runs beside the one that it replaces; it is the core's MAX_MEMBERS.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,5 +16,5 @@
 pub use agreement::{Agreement, Certainty};
 pub use health::Health;
 pub use identity::{Address, BadName, Identity, Name, Phase};
-pub use membership::{Cause, Change, Counters, Member, Membership, Output, Settings};
+pub use membership::{Cause, Change, Counters, MAX_MEMBERS, Member, Membership, Output, Settings};
 pub use wire::{DATAGRAM, Rejected};
--- a/crates/fleet/src/membership/changes.rs
+++ b/crates/fleet/src/membership/changes.rs
@@ -142,6 +142,8 @@
         }
         self.digest = self.digest.wrapping_add(member_digest(&member));
         self.members.insert(member.name, member.clone());
+        self.version += 1;
+        self.observed.borrow_mut().names.insert(member.name);
         self.resized();
         out.push(Output::Changed(Change { member, cause }));
     }
@@ -165,13 +167,14 @@
 
     fn forget(&mut self, member: &Identity) {
         self.members.remove(&member.name);
+        self.version += 1;
+        self.observed.borrow_mut().names.remove(&member.name);
         self.digest = self.digest.wrapping_sub(member_digest(member));
         self.views.forget(&member.name);
     }
 
     /// Suspicion lasts for longer among more members.
     fn resized(&mut self) {
-        self.observed.borrow_mut().known = self.members.len();
         // Nothing else of it changes, which is all that could be refused.
         let _ = self.swim.set_config(config(&self.settings, self.members.len() + 1));
     }
--- a/crates/fleet/src/membership/codec.rs
+++ b/crates/fleet/src/membership/codec.rs
@@ -1,8 +1,9 @@
 //! SWIM's messages in postcard's form, and what they say of this node, seen as they are read.
 
-use crate::identity::Identity;
+use crate::identity::{Identity, Name};
 use foca::Codec;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,8 @@
 /// What the codec sees go by.
 pub(super) struct Observed {
     pub(super) me: Identity,
-    pub(super) known: usize,
+    /// The names of the members that are alive.
+    pub(super) names: BTreeSet<Name>,
     pub(super) max_members: usize,
     /// A later life under this node's name.
     pub(super) later_process: Option<Identity>,
@@ -48,7 +50,7 @@
                 self.later_process = Some(id.clone());
                 return Err(DecodeError::NameTaken);
             }
-        } else if self.known >= self.max_members {
+        } else if self.names.len() >= self.max_members && !self.names.contains(&id.name) {
             return Err(DecodeError::Malformed);
         }
         Ok(())
--- a/crates/fleet/src/membership/mod.rs
+++ b/crates/fleet/src/membership/mod.rs
@@ -25,11 +25,11 @@
 use leavers::{Broadcasts, Leavers};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-pub use settings::Settings;
 use settings::config;
+pub use settings::{MAX_MEMBERS, Settings};
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use timers::PendingTimer;
@@ -53,6 +53,8 @@
     /// The members that are alive but for this one, and the sum of the parts of all.
     members: BTreeMap<Name, Identity>,
     digest: u64,
+    /// How often `members` has changed.
+    version: u64,
     views: Views,
     health: Health,
     sequence: u64,
@@ -89,7 +91,7 @@
         let leavers = Leavers::default();
         let observed = Rc::new(RefCell::new(Observed {
             me: me.clone(),
-            known: 0,
+            names: BTreeSet::new(),
             max_members: settings.max_members,
             later_process: None,
             earlier: None,
@@ -122,6 +124,7 @@
             phase: Phase::Joining,
             displaced: None,
             members: BTreeMap::new(),
+            version: 0,
             views: Views::default(),
             health: Health::default(),
             sequence: 0,
@@ -176,7 +179,7 @@
 
     /// All members but this one, by name.
     pub fn members(&self, now: Duration) -> Vec<Member> {
-        let states: BTreeMap<_, _> =
+        let states: HashMap<_, _> =
             self.swim.iter_membership_state().map(|member| (&member.id().name, member)).collect();
         let member = |identity: &Identity| {
             let state = states.get(&identity.name);
@@ -190,6 +193,16 @@
         self.members.values().map(member).collect()
     }
 
+    /// The members but this one, by name: who they are, without how they are seen.
+    pub fn identities(&self) -> impl Iterator<Item = &Identity> {
+        self.members.values()
+    }
+
+    /// Another number whenever a member has come, has gone or is in another life.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// This node's place among the live members, by name, from 0.
     pub fn rank(&self) -> usize {
         self.members.range(..self.me.name).count()
--- a/crates/fleet/src/membership/settings.rs
+++ b/crates/fleet/src/membership/settings.rs
@@ -14,6 +14,10 @@
 /// Times that each piece of news is passed on by each member (foca's advice for large clusters is 15).
 const MAX_TRANSMISSIONS: NonZeroU8 = NonZeroU8::new(10).unwrap();
 
+/// The most members that a node keeps: twice the 4,900 nodes of the largest fleet that is planned, as while a whole fleet
+/// runs beside the one that it replaces. docs/membership.md has what each costs.
+pub const MAX_MEMBERS: usize = 2 * 4_900;
+
 /// What a member is told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -33,14 +37,15 @@
 }
 
 impl Settings {
-    /// The usual ones: a probe a second, 300 ms for its answer (peers' messages take up to 14 ms each way), 2,000 members.
+    /// The usual ones: a probe a second, 300 ms for its answer (peers' messages take up to 14 ms each way), as many
+    /// members as are kept at all.
     pub fn usual(cluster: &str, fleet_size: usize) -> Self {
         Settings {
             cluster: cluster.into(),
             fleet_size,
             period: Duration::from_secs(1),
             patience: Duration::from_millis(300),
-            max_members: 2_000,
+            max_members: MAX_MEMBERS,
             local_health: true,
         }
     }
--- a/crates/fleet/src/pages.rs
+++ b/crates/fleet/src/pages.rs
@@ -6,7 +6,7 @@
 use crate::wire::{BODY, Rejected};
 use serde::{Deserialize, Serialize};
 
-/// Pages asked for in a probe period, while each teaches something: a list of 2,000 in about six periods, and no more
+/// Pages asked for in a probe period, while each teaches something: a list of 4,900 in some twenty periods, and no more
 /// than 8 KB a period at any size.
 const MAX_PAGE_REQUESTS: u32 = 32;
 /// Pages given in a period: to two who ask at full speed.
--- a/crates/fleet/tests/memory.rs
+++ b/crates/fleet/tests/memory.rs
@@ -26,7 +26,7 @@
     (after.bytes_deallocated - before.bytes_deallocated) as f64 / members as f64
 }
 
-/// 2,000 members are the most that a node keeps: at this bound they take 2 MB of the node's 32.
+/// 9,800 members are the most that a node keeps: at this bound they take less than 10 MB of the node's 32.
 #[test]
 fn a_member_takes_less_than_a_kibibyte() {
     let (some, more) = (of_a_member(50), of_a_member(200));
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -27,8 +27,8 @@
 /// Descriptors for all but connections: standard streams, listener, runtime, discovery, the operators' calls, dials that
 /// end.
 pub const SPARE_SOCKETS: usize = 48;
-/// Members that are kept.
-pub const MOST_PEERS: usize = 2_000;
+/// Members that are kept, and addresses of nodes that are read.
+pub const MOST_PEERS: usize = hillpick_fleet::MAX_MEMBERS;
 
 #[derive(Deserialize)]
 struct File {
--- a/src/control/config/tests.rs
+++ b/src/control/config/tests.rs
@@ -109,3 +109,23 @@
         assert!(!why.contains('\n'), "on one line: {why:?}");
     }
 }
+
+/// The planned 4,900 nodes are read, twice as many are, and one more is refused with what was expected.
+#[test]
+fn a_fleet_of_the_planned_size_is_read_and_a_larger_than_the_bound_is_refused() {
+    let peers = |count: usize| {
+        let peers: Vec<_> =
+            (0..count).map(|node| format!("\"10.0.{}.{}:7946\"", node >> 8, node & 255)).collect();
+        let fleet = format!(
+            r#""name": "n0", "peer_listen": "127.0.0.1:0", "fleet": {{"cluster": "c"}}, "peers": [{}], "listen""#,
+            peers.join(",")
+        );
+        let text = RUNNING.replacen(r#""listen""#, &fleet, 1);
+        let text = text.replacen(r#""Probes": true"#, r#""Probes": true, "Peers": true"#, 1);
+        Config::parse(&text).map(|config| config.fleet.map_or(0, |fleet| fleet.peers.len()))
+    };
+    assert_eq!(peers(4_900).expect("the planned size"), 4_900);
+    assert_eq!(peers(MOST_PEERS).expect("the bound"), 9_800);
+    let problem = peers(MOST_PEERS + 1).expect_err("too many").to_string();
+    assert!(problem.contains("9801 peers") && problem.contains("9800 at most"), "{problem}");
+}
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -2,6 +2,8 @@
 //! node's owner is told of the fleet. It decides nothing: the core in `hillpick_fleet` does, and [`view`] shows what that
 //! knows.
 
+mod addresses;
+mod saved;
 #[cfg(test)]
 mod tests;
 pub mod view;
@@ -10,18 +12,17 @@
 use crate::control::config::{Config, Fleet, MOST_PEERS};
 use crate::control::log::log;
 use crate::control::process::{Siblings, State};
-use crate::control::saved_file;
+use addresses::PeerAddresses;
 use hillpick_fleet::{Address, BadName, Certainty, DATAGRAM, Identity, Membership, Name, Output, Settings};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
-use serde::{Deserialize, Serialize};
+use saved::SavedMembers;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{JoinHandle, spawn_blocking};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use view::View;
 
@@ -36,13 +37,6 @@
 /// Datagrams taken in before anything else has its turn.
 const AT_A_TIME: usize = 64;
 
-/// What a start finds again of the life before: when that began, and whom it knew.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-struct Saved {
-    started_ms: u64,
-    members: Vec<(Name, Address)>,
-}
-
 /// Why a node can take no part in membership.
 #[derive(Debug, thiserror::Error)]
 pub enum PeersError {
@@ -75,6 +69,7 @@
 /// `M`.
 pub struct Peers<M> {
     fleet: Fleet,
+    addresses: PeerAddresses,
     name: Name,
     /// The address by which the others know it; the port may be open until the socket is bound.
     advertised: Address,
@@ -88,9 +83,7 @@
     told: Option<Tier>,
     /// The port on which it hears.
     port: u16,
-    /// What the disk holds, and the write that is under way.
-    saved: Saved,
-    saving: Option<JoinHandle<()>>,
+    saved: SavedMembers,
 }
 
 impl<M: From<Tier>> Peers<M> {
@@ -118,6 +111,8 @@
             }
         };
         Ok(Some(Peers {
+            addresses: PeerAddresses::new(fleet.peers.clone()),
+            saved: SavedMembers::new(fleet.saved.clone()),
             name,
             advertised,
             nodes: settings.nodes,
@@ -130,8 +125,6 @@
             siblings,
             told: None,
             port: 0,
-            saved: Saved::default(),
-            saving: None,
         }))
     }
 
@@ -165,7 +158,7 @@
             };
         };
         self.port = socket.local_addr().map(|address| address.port()).unwrap_or_default();
-        self.load();
+        self.saved.load();
         let mut process = self.process.clone();
         loop {
             match process.wait_for(|state| *state != State::Standby).await.map(|state| *state) {
@@ -193,13 +186,13 @@
         let me = Identity {
             name: self.name,
             // Later than its last life, also where the clock has been set back.
-            started_ms: (unix.as_millis() as u64).max(self.saved.started_ms.saturating_add(1)),
+            started_ms: (unix.as_millis() as u64).max(self.saved.saved.started_ms.saturating_add(1)),
             renewed: 0,
             address,
             zone: self.zone,
             program: program(),
         };
-        self.saved.started_ms = me.started_ms;
+        self.saved.starts(me.started_ms);
         let settings = Settings {
             cluster: self.fleet.cluster.clone(),
             fleet_size: self.nodes as usize,
@@ -208,16 +201,8 @@
             max_members: MOST_PEERS,
             local_health: true,
         };
-        let address = |(number, peer): (usize, &SocketAddr)| match (self.fleet.advertise, peer) {
-            (Some(_), SocketAddr::V4(peer)) => Address::Socket(*peer),
-            _ => Address::Node(number as u16),
-        };
-        let mut seeds: Vec<_> = self.fleet.peers.iter().enumerate().map(address).collect();
-        for (_, address) in &self.saved.members {
-            if !seeds.contains(address) {
-                seeds.push(*address);
-            }
-        }
+        let saved = self.saved.saved.members.iter().map(|(_, address)| *address);
+        let seeds = self.addresses.seeds(self.fleet.advertise.is_some(), saved);
         let seed = self.random.next_u64();
         let core = Membership::new(me, settings, seeds, seed, Duration::ZERO);
         *self.view.0.borrow_mut() = Some((core, Instant::now()));
@@ -258,50 +243,11 @@
             }
             if Instant::now() >= save_at {
                 save_at = Instant::now() + SAVE_EVERY;
-                self.save();
-            }
-        }
-    }
-
-    /// What the life before has left. A file that is broken is no reason not to start: `peers` is there as well.
-    fn load(&mut self) {
-        let Some(path) = &self.fleet.saved else { return };
-        match saved_file::load::<Saved>(path) {
-            Ok(None) => {}
-            Ok(Some(kept)) => {
-                let known = kept.value.members.len();
-                let age =
-                    kept.age.map_or("of an unknown age".into(), |age| format!("{} s old", age.as_secs()));
-                log(format_args!("{known} saved members, {age}, to be asked who lives"));
-                self.saved = kept.value;
-                self.saved.members.truncate(MOST_PEERS);
+                if let Some((core, _)) = &*self.view.0.borrow() {
+                    self.saved.save(core);
+                }
             }
-            Err(problem) => log(format_args!("no saved members from {}: {problem}", path.display())),
-        }
-    }
-
-    /// Writes its members to disk if they have changed, off the thread that serves. Who knows nobody keeps what was known.
-    fn save(&mut self) {
-        let Some(path) = self.fleet.saved.clone() else { return };
-        if self.saving.as_ref().is_some_and(|saving| !saving.is_finished()) {
-            return;
         }
-        let now = {
-            let view = self.view.0.borrow();
-            let Some((core, begun)) = view.as_ref() else { return };
-            let members = core.members(begun.elapsed());
-            let members = members.into_iter().map(|it| (it.identity.name, it.identity.address)).collect();
-            Saved { started_ms: core.me().started_ms, members }
-        };
-        if now.members.is_empty() || now == self.saved {
-            return;
-        }
-        self.saved = now.clone();
-        self.saving = Some(spawn_blocking(move || {
-            if let Err(e) = saved_file::save(&path, &now) {
-                log(format_args!("cannot save the members to {}: {e}", path.display()));
-            }
-        }));
     }
 
     fn wake_at(&self) -> Option<Instant> {
@@ -313,7 +259,7 @@
     /// What comes from no peer's address is nobody's; where members come with addresses of their own, the cluster's hash
     /// has to do.
     fn hear(&self, from: SocketAddr, data: &[u8], out: &mut Vec<Output>) {
-        if self.fleet.advertise.is_none() && !self.fleet.peers.contains(&from) {
+        if self.fleet.advertise.is_none() && !self.addresses.contains(&from) {
             return;
         }
         if let Some((core, begun)) = &mut *self.view.0.borrow_mut() {
@@ -325,8 +271,8 @@
         for output in out {
             match output {
                 Output::Send { to: Address::Node(number), data } => {
-                    if let Some(to) = self.fleet.peers.get(usize::from(number)) {
-                        let _ = socket.try_send_to(&data, *to); // a full buffer loses it, as a network may
+                    if let Some(to) = self.addresses.of(number) {
+                        let _ = socket.try_send_to(&data, to); // a full buffer loses it, as a network may
                     }
                 }
                 Output::Send { to: Address::Socket(to), data } if self.fleet.advertise.is_some() => {
