--- a/src/control/config/tests.rs
+++ b/src/control/config/tests.rs
@@ -229,6 +229,7 @@
         folded.fold();
         prop_assert_eq!(lacks(&folded, &read, "").map(|problem| problem.to_string()), expected);
     }
+}
 
 /// The planned 4,900 nodes are read, twice as many are, and one more is refused with what was expected.
 #[test]
