--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod report;
 pub mod results;
 pub mod rig;
+pub mod scale;
 pub mod shares;
 pub mod size;
 pub mod spec;
