--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,11 +3,12 @@
 use clap::{Parser, Subcommand};
 use hillpick_lab::results::{self, Verdict};
 use hillpick_lab::rig::spec::Rig;
+use hillpick_lab::scale::spec::Scale;
 use hillpick_lab::size::Size;
 use hillpick_lab::spec::Experiment;
 use hillpick_lab::stats::Mean;
 use hillpick_lab::strategy::Kind;
-use hillpick_lab::{judge, late, paper, report, rig};
+use hillpick_lab::{judge, late, paper, report, rig, scale};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -81,6 +82,23 @@
         #[arg(long, value_name = "SIZE", value_parser = size)]
         size: Option<Size>,
     },
+    /// Runs the nodes' control code at scale, and says what it costs by size
+    Scale {
+        /// The scale file
+        file: PathBuf,
+        /// The node's program; `sillward` beside this one if not given
+        #[arg(long, value_name = "PATH")]
+        node: Option<PathBuf>,
+        /// In place of the file's seed
+        #[arg(long, value_name = "N")]
+        seed: Option<u64>,
+        /// The commit that is measured, for the results
+        #[arg(long, value_name = "COMMIT", default_value = "unknown")]
+        version: String,
+        /// Keeps the results in this folder
+        #[arg(long, value_name = "DIR")]
+        out: Option<PathBuf>,
+    },
     /// Holds the node's throughput and processor time against a bare pass-through
     Throughput {
         /// The node's program; `sillward` beside this one if not given
@@ -145,6 +163,9 @@
         Command::Compare { a, b } => compare(&a, &b).map(|()| true),
         Command::Report { dir } => make_report(&dir).map(|()| true),
         Command::Rig { file, node, seed, size } => run_rig(&file, node, seed, size),
+        Command::Scale { file, node, seed, version, out } => {
+            run_scale(&file, node, seed, version, out.as_deref())
+        }
         Command::Guard { program } => guard(&program),
         Command::Throughput { node, seconds } => throughput(node, seconds),
         Command::Pass { to } => rig::throughput::pass(to).map(|()| true).map_err(Into::into),
@@ -330,6 +351,12 @@
         let rig = Rig::read(file)?;
         return Ok((format!("rig {}x{}", rig.nodes, rig.servers), rig.about));
     }
+    // A scale file's size is a table of its own.
+    if table.contains_key("size") {
+        let scale = Scale::read(file)?;
+        let sizes: Vec<_> = scale.sizes().iter().map(|it| format!("{}x{}", it.nodes, it.servers)).collect();
+        return Ok((format!("scale {}", sizes.join(" ")), scale.about));
+    }
     let it = Experiment::read(file)?;
     let sizes: Vec<_> = it.sizes.iter().map(ToString::to_string).collect();
     Ok((sizes.join(" "), it.about))
@@ -460,6 +487,32 @@
     Ok(good)
 }
 
+fn run_scale(
+    file: &Path,
+    node: Option<PathBuf>,
+    seed: Option<u64>,
+    version: String,
+    out: Option<&Path>,
+) -> Result<bool, Failure> {
+    let scale = Scale::read(file)?;
+    let (program, folder) = program(node)?;
+    let part = std::env::current_exe()?.with_file_name("hillpick-hollow");
+    let programs = scale::fleet::Programs { part, node: program, folder: folder.clone() };
+    let record = scale::run::Record { version, folder: out };
+    let seed = seed.unwrap_or(scale.seed);
+    say!("{}: {}", scale.name, scale.about);
+    let mut tell = |line: String| say!("{line}");
+    let run = async {
+        let results = scale::run::run(&scale, seed, &programs, &record, &mut tell).await;
+        Ok(results.map_err(|what| what.to_string()))
+    };
+    let results = with_processes(&folder, run)??;
+    scale::report::lines(&results).iter().for_each(|line| say!("{line}"));
+    let (lines, good) = scale::report::verdicts(&scale, &results);
+    lines.iter().for_each(|line| say!("{line}"));
+    Ok(good)
+}
+
 fn hold_against_the_paper(quick: bool) -> bool {
     say!("{:<40}{:>12}{:>12}{:>12}{:>12}{:>10}", "mean response time", "known", "+-", "ours", "+-", "off by");
     let tell = |line: &paper::Line| {
--- a/crates/lab/src/rig/clients.rs
+++ b/crates/lab/src/rig/clients.rs
@@ -145,6 +145,8 @@
     pub tries: AtomicU64,
     /// Hidden in ids, so that two rigs have none in common.
     pub seed: u64,
+    /// The tenant in whose name they come, where there are tenants.
+    pub caller: Option<String>,
 }
 
 impl Clients {
@@ -298,6 +300,9 @@
             .header("x-call-id", id)
             .header("x-budget-ms", left.as_millis().max(1).to_string())
             .header("x-call-cost", work.as_micros().to_string());
+        if let Some(caller) = &self.caller {
+            request = request.header("x-caller", caller);
+        }
         if !safe {
             request = request.header("idempotency-key", format!("{id}{id}"));
         }
--- a/crates/lab/src/rig/discovery.rs
+++ b/crates/lab/src/rig/discovery.rs
@@ -27,7 +27,7 @@
 use tokio::task::JoinSet;
 
 /// A watch says something so often (the protocol's figure).
-const HEARTBEAT: Duration = Duration::from_secs(2);
+pub const HEARTBEAT: Duration = Duration::from_secs(2);
 
 /// What a silent agent has to tell counts as told so long after it fell silent (the platform's figure).
 pub const SILENCE: Duration = Duration::from_secs(6);
@@ -279,7 +279,7 @@
 }
 
 /// The lines of a watch.
-struct Lines(mpsc::Receiver<Bytes>);
+pub struct Lines(pub mpsc::Receiver<Bytes>);
 
 impl Body for Lines {
     type Data = Bytes;
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -2,12 +2,12 @@
 //! that processes and paths can be made to fail. It is bounded in load, count and time by its file's limits, touches no
 //! process that it has not started, and leaves none behind.
 
-mod books;
-mod clients;
-mod discovery;
-mod process;
-mod relay;
-mod servers;
+pub(crate) mod books;
+pub(crate) mod clients;
+pub(crate) mod discovery;
+pub(crate) mod process;
+pub(crate) mod relay;
+pub(crate) mod servers;
 pub mod spec;
 pub mod throughput;
 
@@ -311,6 +311,7 @@
         retries: rig.retries,
         tries: AtomicU64::new(0),
         seed: rig.seed,
+        caller: None,
     });
     if let Some(within) = rig.one_view_s {
         running.one_view(within).await?;
--- a/crates/lab/src/rig/process.rs
+++ b/crates/lab/src/rig/process.rs
@@ -106,6 +106,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// Its id.
+    pub fn id(&self) -> u32 {
+        self.pid.as_raw_nonzero().get() as u32
+    }
+
     /// Waits until it has ended by itself; false if it does not within that time.
     pub async fn ends(&mut self, within: Duration) -> bool {
         timeout(within, self.child.wait()).await.is_ok()
--- /dev/null
+++ b/crates/lab/src/scale/measure.rs
@@ -0,0 +1,129 @@
+//! What each structure of a node takes: built one after the other, by itself, in a process whose allocator counts.
+
+use super::configuration::{Own, Settings};
+use super::hollow::node::Message;
+use super::messages::Shape;
+use super::usage;
+use hillpick::control::clock::Clock;
+use hillpick::control::config::{Config, Current, MOST_PEERS};
+use hillpick::control::discovery::Discovery;
+use hillpick::{Balancer, Event};
+use hillpick_fleet::{Address, Identity, Membership, Name, Output};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// The list has to be there within this.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Until what a list left behind on its way has been dropped.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// How many bytes are allocated now.
+pub type Allocated = fn() -> u64;
+
+/// Names of structures and their bytes.
+///
+/// # Errors
+/// If the settings are no good, or no list comes.
+pub async fn measure(
+    shape: Shape,
+    agent: SocketAddr,
+    members: u32,
+    allocated: Allocated,
+) -> io::Result<Vec<(String, f64)>> {
+    let mut found = Vec::new();
+    let mut note = |what: &str, before: u64| {
+        found.push((what.to_string(), allocated().saturating_sub(before) as f64));
+    };
+    let resident = || usage::resident(std::process::id()).unwrap_or_default();
+    let resident_before = resident();
+    let settings = Settings::new(shape, 0);
+    let own = Own { number: 0, zone: 0, region: 0, discovery: agent, peers: &[agent], seed: 1 };
+    let text = settings.text(&own);
+    drop(settings);
+
+    let before = allocated();
+    let config = Config::parse(&text).map_err(io::Error::other)?;
+    note("state of the configuration", before);
+    drop(text);
+
+    let before = allocated();
+    let mut balancer = Balancer::new(config.site.settings.clone(), 1);
+    note("state of routes and tenants", before);
+
+    let clock = Clock::start();
+    let before = allocated();
+    let (messages, mut inbox) = mpsc::channel(64);
+    let (_orders, discovery_orders) = mpsc::channel(16);
+    let (_moved, address) = watch::channel(agent);
+    let discovery = Discovery::new(&config, Current::new(config.site.clone()), address, messages);
+    let client = spawn_local(discovery.run(discovery_orders));
+    let message = timeout(PATIENCE, inbox.recv()).await;
+    let Ok(Some(Message::List(update))) = message else {
+        return Err(io::Error::other("no list came"));
+    };
+    // What the client keeps is what is there but for the update itself, which is dropped here and built again below.
+    let kind = update.kind;
+    let entries: Vec<_> = update.backends.iter().map(|backend| backend.entry).collect();
+    drop(update);
+    sleep(QUIET).await;
+    let taken = std::mem::size_of_val(entries.as_slice()) as u64;
+    note("state of the discovery client", before + taken);
+
+    let before = allocated();
+    let mut actions = Vec::new();
+    balancer.handle(clock.now(), Event::List { kind, entries: entries.clone() }, &mut actions);
+    drop(actions);
+    note("state of the server table", before);
+    drop(entries);
+
+    let before = allocated();
+    let core = membership(shape, members);
+    // A figure of a membership that is short of members would be none.
+    if core.members(Duration::ZERO).len() as u32 + 1 == members {
+        note("state of the membership", before);
+    }
+    found.push((
+        "resident memory of the structures".into(),
+        resident().saturating_sub(resident_before) as f64,
+    ));
+    drop((core, balancer, config));
+    client.abort();
+    Ok(found)
+}
+
+fn identity(number: u32) -> Identity {
+    let port = 1_024 + (number % 60_000) as u16;
+    let address = Address::Socket(SocketAddrV4::new(Ipv4Addr::new(127, 1, (number / 60_000) as u8, 1), port));
+    let name = Name::try_from(format!("n{number}")).expect("a name of a few letters");
+    Identity { name, started_ms: 1 + u64::from(number), renewed: 0, address, zone: 0, program: 0 }
+}
+
+/// A member that has heard a hello of each other one.
+fn membership(shape: Shape, members: u32) -> Membership {
+    let core = |number: u32, seeds| {
+        let mut settings = hillpick_fleet::Settings::usual("scale", shape.nodes as usize);
+        settings.most = MOST_PEERS;
+        Membership::new(identity(number), settings, seeds, number.into(), Duration::ZERO)
+    };
+    let mut first = core(0, Vec::new());
+    let home = first.me().address;
+    let mut now = Duration::ZERO;
+    for number in 1..members {
+        let mut other = core(number, vec![home]);
+        let mut out = Vec::new();
+        other.tick(Duration::from_secs(1), &mut out);
+        now += Duration::from_micros(10);
+        for output in out {
+            if let Output::Send { to, data } = output
+                && to == home
+            {
+                first.hear(now, &data, &mut Vec::new());
+            }
+        }
+    }
+    first
+}
