--- a/crates/lab/src/scale/hollow/membership.rs
+++ b/crates/lab/src/scale/hollow/membership.rs
@@ -1,4 +1,5 @@
-//! Carries a member's datagrams and times, as the node's own driver does. It decides nothing.
+//! Carries a member's datagrams and times, as the node's own driver does. It decides nothing. It is not that driver, since a
+//! run counts what is heard, cuts regions off, and looks at thousands of views a second without their members.
 
 use super::node::Message;
 use super::state::{Seen, Shared};
@@ -134,14 +135,10 @@
         zone: place.zone,
         program: 0,
     };
-    let settings = Settings {
-        cluster: fleet.cluster.clone(),
-        tier: place.nodes as usize,
-        period: fleet.period,
-        patience: fleet.period.mul_f64(PATIENCE),
-        most: MOST_PEERS,
-        doubts_itself: true,
-    };
+    let mut settings = Settings::usual(&fleet.cluster, place.nodes as usize);
+    settings.period = fleet.period;
+    settings.patience = fleet.period.mul_f64(PATIENCE);
+    settings.most = MOST_PEERS;
     let seeds = fleet.peers.iter().filter_map(|peer| match peer {
         SocketAddr::V4(peer) => Some(Address::Socket(*peer)),
         SocketAddr::V6(_) => None,
--- a/crates/lab/src/scale/hollow/mod.rs
+++ b/crates/lab/src/scale/hollow/mod.rs
@@ -9,7 +9,7 @@
 use hillpick::control::clock::Clock;
 use hillpick::control::config::{Config, Current};
 use hillpick::control::discovery::Discovery;
-use hillpick::settings::Site;
+use hillpick::settings::Replacement;
 use hillpick_fleet::{Membership, Name};
 use membership::{Member, Place, carry_out};
 use node::{Message, Node, Surroundings};
@@ -19,6 +19,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -146,11 +147,11 @@
             let text = if bad { &text[..text.len() / 2] } else { &text };
             match Config::parse(text) {
                 Ok(mut config) => {
-                    let mut site = Site::clone(&config.site);
-                    site.number_as(&life.config.site);
-                    config.site = Rc::new(site);
+                    // Nobody else has it yet, so that nothing is copied.
+                    Arc::make_mut(&mut config.site).number_as(&life.config.site);
+                    let replacement = Replacement::new(config.site.clone(), &life.config.site);
                     life.current.set(config.site.clone());
-                    let told = Message::Settings(config.site.clone(), version, made_ms);
+                    let told = Message::Settings(Box::new(replacement), version, made_ms);
                     life.config = config;
                     let _ = life.messages.send(told).await; // or the node has ended
                 }
--- a/crates/lab/src/scale/hollow/node.rs
+++ b/crates/lab/src/scale/hollow/node.rs
@@ -6,7 +6,7 @@
 use hillpick::control::clock::Clock;
 use hillpick::control::config::Config;
 use hillpick::control::updates::{DiscoveryCommand, ListUpdate};
-use hillpick::settings::{Site, places};
+use hillpick::settings::{Replacement, Site};
 use hillpick::{
     Action, AttemptEnd, Balancer, Event, ListKind, LoadReport, NewRequest, Outcome, ProbeEnd, RequestId,
     ServerId, Tier,
@@ -18,9 +18,13 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
+
+/// Until it is ready, a node looks so often whether it is.
+const LOOK: Duration = Duration::from_millis(5);
 
 /// What the loop of a node is told.
 pub enum Message {
@@ -29,7 +33,7 @@
     /// News of the tier.
     Tier(Tier),
     /// Other settings: their version, and when they were made, in ms of Unix time.
-    Settings(Rc<Site>, u32, u64),
+    Settings(Box<Replacement>, u32, u64),
 }
 
 impl From<ListUpdate> for Message {
@@ -65,9 +69,11 @@
     /// When it began to start.
     began: Duration,
     balancer: Balancer,
-    site: Rc<Site>,
+    site: Arc<Site>,
     discovery: mpsc::Sender<DiscoveryCommand>,
     listed: Rc<Cell<bool>>,
+    /// Since when it is ready, in ms of Unix time.
+    ready_ms: Option<u64>,
     shared: Rc<Shared>,
     seen: Rc<RefCell<Seen>>,
     random: Pcg64Mcg,
@@ -110,6 +116,7 @@
             site: config.site.clone(),
             discovery,
             listed,
+            ready_ms: None,
             shared,
             seen,
             random,
@@ -133,7 +140,9 @@
                     None => return,
                 },
                 () = wait, if due.is_some() => {}
+                () = sleep(LOOK), if self.ready_ms.is_none() => {}
             }
+            self.note_ready();
             self.fire();
         }
     }
@@ -142,10 +151,8 @@
         match message {
             Message::List(update) => self.take_list(update),
             Message::Tier(tier) => self.decide(Event::Tier(tier)),
-            Message::Settings(site, version, made_ms) => {
-                let settings = Box::new(site.settings.clone());
-                let classes = places(&site.class_names, &self.site.class_names);
-                let tenants = places(&site.tenant_names, &self.site.tenant_names);
+            Message::Settings(replacement, version, made_ms) => {
+                let Replacement { site, settings, classes, tenants } = *replacement;
                 self.site = site;
                 self.decide(Event::Settings { settings, classes, tenants });
                 self.seen.borrow_mut().settings = version;
@@ -164,17 +171,25 @@
         starts.dedup();
         self.decide(Event::List { kind, entries });
         let now_ms = self.clock.now().as_millis() as u64;
-        if kind == ListKind::Changes {
+        // What was made before this life began is no news here, even if it comes as a change.
+        if let Some(ready_ms) = self.ready_ms.filter(|_| kind == ListKind::Changes) {
             let mut changes = self.shared.changes.borrow_mut();
-            starts.iter().for_each(|made_ms| changes.note(*made_ms, now_ms));
+            let news = starts.iter().filter(|made_ms| **made_ms > ready_ms);
+            news.for_each(|made_ms| changes.note(*made_ms, now_ms));
         }
         let mut seen = self.seen.borrow_mut();
         seen.held_ms = seen.held_ms.max(starts.last().copied().unwrap_or_default());
-        if !seen.ready && (self.listed.get() || kind == ListKind::Full) {
-            seen.ready = true;
-            let took = self.clock.now().saturating_sub(self.began);
-            self.shared.ready_ms.borrow_mut().push(took.as_millis() as u32);
+    }
+
+    /// A long list comes in slices; only its end makes the node ready.
+    fn note_ready(&mut self) {
+        if self.ready_ms.is_some() || !self.listed.get() {
+            return;
         }
+        let now = self.clock.now();
+        self.ready_ms = Some(now.as_millis() as u64);
+        self.seen.borrow_mut().ready = true;
+        self.shared.ready_ms.borrow_mut().push(now.saturating_sub(self.began).as_millis() as u32);
     }
 
     fn set(&mut self, after: Duration, due: Due) {
@@ -205,7 +220,7 @@
 
     fn arrive(&mut self) {
         self.next_arrival();
-        if !self.seen.borrow().ready {
+        if self.ready_ms.is_none() {
             return; // nobody sends clients there
         }
         self.requests += 1;
--- a/crates/lab/src/scale/measure.rs
+++ b/crates/lab/src/scale/measure.rs
@@ -7,14 +7,16 @@
 use hillpick::control::clock::Clock;
 use hillpick::control::config::{Config, Current, MOST_PEERS};
 use hillpick::control::discovery::Discovery;
-use hillpick::{Balancer, Event};
+use hillpick::{Balancer, Event, ListKind, ServerEntry};
 use hillpick_fleet::{Address, Identity, Membership, Name, Output};
+use std::cell::Cell;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// The list has to be there within this.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -60,25 +62,23 @@
     let (_orders, discovery_orders) = mpsc::channel(16);
     let (_moved, address) = watch::channel(agent);
     let discovery = Discovery::new(&config, Current::new(config.site.clone()), address, messages);
+    let ready = discovery.ready();
     let client = spawn_local(discovery.run(discovery_orders));
-    let message = timeout(PATIENCE, inbox.recv()).await;
-    let Ok(Some(Message::List(update))) = message else {
-        return Err(io::Error::other("no list came"));
-    };
-    // What the client keeps is what is there but for the update itself, which is dropped here and built again below.
-    let kind = update.kind;
-    let entries: Vec<_> = update.backends.iter().map(|backend| backend.entry).collect();
-    drop(update);
-    sleep(QUIET).await;
-    let taken = std::mem::size_of_val(entries.as_slice()) as u64;
+    let updates = whole_list(&mut inbox, &ready).await?;
+    let entries = updates.iter().map(|(_, entries)| std::mem::size_of_val(entries.as_slice()) as u64);
+    let taken = entries.sum::<u64>() + std::mem::size_of_val(updates.as_slice()) as u64;
     note("state of the discovery client", before + taken);
 
     let before = allocated();
     let mut actions = Vec::new();
-    balancer.handle(clock.now(), Event::List { kind, entries: entries.clone() }, &mut actions);
+    for (kind, entries) in &updates {
+        let event = Event::List { kind: *kind, entries: entries.clone() };
+        balancer.handle(clock.now(), event, &mut actions);
+        actions.clear();
+    }
     drop(actions);
     note("state of the server table", before);
-    drop(entries);
+    drop(updates);
 
     let before = allocated();
     let core = membership(shape, members);
@@ -95,6 +95,27 @@
     Ok(found)
 }
 
+/// All that comes until the list is there, without what the client says beside the entries.
+async fn whole_list(
+    inbox: &mut mpsc::Receiver<Message>,
+    ready: &Rc<Cell<bool>>,
+) -> io::Result<Vec<(ListKind, Vec<ServerEntry>)>> {
+    let mut updates = Vec::new();
+    let end = Instant::now() + PATIENCE;
+    while !ready.get() || !inbox.is_empty() {
+        if Instant::now() > end {
+            return Err(io::Error::other("no list came"));
+        }
+        if let Ok(Some(Message::List(update))) = timeout(QUIET, inbox.recv()).await {
+            let entries: Vec<_> = update.backends.iter().map(|backend| backend.entry).collect();
+            updates.push((update.kind, entries));
+        }
+    }
+    updates.shrink_to_fit();
+    sleep(QUIET).await;
+    Ok(updates)
+}
+
 fn identity(number: u32) -> Identity {
     let port = 1_024 + (number % 60_000) as u16;
     let address = Address::Socket(SocketAddrV4::new(Ipv4Addr::new(127, 1, (number / 60_000) as u8, 1), port));
