--- a/crates/lab/src/scale/usage.rs
+++ b/crates/lab/src/scale/usage.rs
@@ -10,14 +10,17 @@
     Some(pages * rustix::param::page_size() as u64)
 }
 
-/// Processor time of a process so far, in s; `None` if it has ended.
+/// Processor time of the threads that a process has now, in s; `None` if it has ended. It is in ns in the system's own
+/// figures, where `/proc/PID/stat` has hundredths of a second, which is too coarse for what idles.
 #[must_use]
 pub fn processor_s(pid: u32) -> Option<f64> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    // The name before the last parenthesis may hold anything; the fields after it begin with the third.
-    let fields: Vec<_> = stat.rsplit_once(") ")?.1.split(' ').collect();
-    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
-    Some(ticks / rustix::param::clock_ticks_per_second() as f64)
+    let threads = std::fs::read_dir(format!("/proc/{pid}/task")).ok()?;
+    let of = |thread: std::fs::DirEntry| {
+        let text = std::fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        text.split(' ').next()?.parse::<u64>().ok()
+    };
+    let nanos: u64 = threads.flatten().filter_map(of).sum();
+    Some(nanos as f64 / 1e9)
 }
 
 /// The machine's memory in bytes.
