Reckon the capacity page from recorded runs, first figures and closed forms

Nobody can say what breaks on the way to 4,900 nodes and 52,000 servers.

Where decisions stop working is in closed form (connections, allowances, cold servers, evidence of one node, retries, probes, worst seconds), each held against a played world or an exact small case. Tests reckon every table again, find any changed digit, and refuse a hand-written table or a number in the prose without a source.

--- /dev/null
+++ b/crates/lab/src/capacity/questions.rs
@@ -0,0 +1,170 @@
+//! What the operators' protocol leaves open and the size turns on, both readings reckoned through.
+
+use super::decisions::{connections, probes};
+use super::first_look;
+use super::roles::{MEMBERSHIP_BYTES, list_bytes_per_s};
+use super::size::{Capacity, DAY_S};
+use super::table::{Table, number, percent};
+
+pub(super) fn tables(capacity: &Capacity) -> Vec<Table> {
+    vec![told(capacity), served(capacity), routes(capacity), counted(capacity), control(capacity)]
+}
+
+/// Services that a node serves, in the readings between all and one.
+fn services(capacity: &Capacity) -> [f64; 5] {
+    [capacity.fleet.services, 120.0, 12.0, 2.0, 1.0]
+}
+
+fn list_of(capacity: &Capacity, servers: f64) -> [String; 3] {
+    let bytes = servers * first_look::bytes_a_server(capacity);
+    [
+        number(bytes / 1e6),
+        number(bytes / capacity.bounds.control_bytes_per_s),
+        number(first_look::memory_by_servers(capacity).at(servers)),
+    ]
+}
+
+/// How a service and its servers are told.
+fn told(capacity: &Capacity) -> Table {
+    let titles =
+        ["reading", "servers told to a node", "list, MB", "s of the 10 KB/s", "memory by the first look, MB"];
+    let mut table = Table::new("question-told", &titles);
+    let a_service = capacity.fleet.servers / capacity.fleet.services;
+    let readings = [
+        ("a list for all: the service is no part of it, or a name in each entry", capacity.fleet.servers),
+        ("a list for each service, a node of two services", 2.0 * a_service),
+        ("a list for each service, a node of one", a_service),
+    ];
+    for (reading, servers) in readings {
+        table.row([vec![reading.to_owned(), number(servers)], list_of(capacity, servers).to_vec()].concat());
+    }
+    table
+}
+
+/// All services at each node, or a few.
+fn served(capacity: &Capacity) -> Table {
+    let (short, long) = idle_closes(capacity);
+    let titles = vec![
+        "services at a node".to_owned(),
+        "requests a second for one".to_owned(),
+        "nodes of a service".to_owned(),
+        "servers of them".to_owned(),
+        "list of these, MB".to_owned(),
+        "memory by the first look, MB".to_owned(),
+        format!("dial, one server a service, {} s", number(short)),
+        format!("dial, eight, {} s", number(short)),
+        format!("dial, eight, {} s", number(long)),
+        format!("servers a service for 1 % dials, {} s", number(long)),
+    ];
+    let mut table = Table { name: "question-served".to_owned(), titles, rows: Vec::new() };
+    let a_service = capacity.fleet.servers / capacity.fleet.services;
+    for services in services(capacity) {
+        let rate = capacity.per_node_s() / services;
+        let dial = |subset: f64, close| {
+            percent(connections::share_that_dials(rate / subset, connections::kept_s(close)))
+        };
+        let [list, _, memory] = list_of(capacity, services * a_service);
+        table.row([
+            number(services),
+            number(rate),
+            number(capacity.fleet.nodes * services / capacity.fleet.services),
+            number(services * a_service),
+            list,
+            memory,
+            dial(1.0, short),
+            dial(8.0, short),
+            dial(8.0, long),
+            number(connections::largest_subset(rate, connections::kept_s(long), 0.01)),
+        ]);
+    }
+    table
+}
+
+fn idle_closes(capacity: &Capacity) -> (f64, f64) {
+    let closes = capacity.assumed.idle_close_s.iter().copied();
+    (closes.clone().fold(f64::INFINITY, f64::min), closes.fold(0.0, f64::max))
+}
+
+/// How a route and its service are told.
+fn routes(capacity: &Capacity) -> Table {
+    let titles = ["reading", "routes at a node", "memory by the first look, MB", "of 32 MB"];
+    let mut table = Table::new("question-routes", &titles);
+    let line = first_look::memory_by_routes(capacity);
+    let a_service = capacity.fleet.routes / capacity.fleet.services;
+    let readings = [
+        ("all routes in each node's settings", capacity.fleet.routes),
+        ("the routes of its services, two services", 2.0 * a_service),
+    ];
+    for (reading, routes) in readings {
+        let memory = line.at(routes);
+        table.row([
+            reading.to_owned(),
+            number(routes),
+            number(memory),
+            percent(memory / capacity.bounds.memory_mb),
+        ]);
+    }
+    table
+}
+
+/// Whether the agent's list counts within the 10 KB a second.
+fn counted(capacity: &Capacity) -> Table {
+    let titles = ["what", "it counts", "it does not count"];
+    let mut table = Table::new("question-counted", &titles);
+    let (bytes, bounds) = (capacity.bounds.control_bytes_per_s, &capacity.bounds);
+    let entry = first_look::bytes_a_server(capacity);
+    let zone = capacity.fleet.servers / capacity.fleet.zones * entry;
+    let free = "bounded by the agent and by memory";
+    let rows = [
+        (
+            "the whole list at a start, s",
+            number(first_look::whole_list_bytes(capacity) / bytes),
+            free.to_owned(),
+        ),
+        (
+            "servers told until ready",
+            number((bytes * bounds.ready_s / entry).floor()),
+            number(capacity.fleet.servers),
+        ),
+        ("a zone gone is told after, s", number(zone / bytes), free.to_owned()),
+        (
+            "changes that can be in force in time",
+            number((bytes * bounds.in_force_s / entry).floor()),
+            number(capacity.fleet.servers / capacity.fleet.zones),
+        ),
+        ("the mean day's changes, of the bytes", percent(list_bytes_per_s(capacity) / bytes), percent(0.0)),
+    ];
+    rows.into_iter().for_each(|(what, yes, no)| table.row([what.to_owned(), yes, no]));
+    table
+}
+
+/// What "for control" takes in.
+fn control(capacity: &Capacity) -> Table {
+    let titles = ["reading", "B/s that are known", "left of the 10 KB/s", "what is left has to carry"];
+    let mut table = Table::new("question-control", &titles);
+    let list = list_bytes_per_s(capacity);
+    let probes = probes::a_request(capacity.assumed.probe_price) * capacity.per_node_s();
+    let settings = capacity.day.changes / DAY_S;
+    let mut row = |reading: &str, known: f64, carries: String| {
+        let left = capacity.bounds.control_bytes_per_s - known;
+        table.row([reading.to_owned(), number(known), number(left), carries]);
+    };
+    row("the list alone", list, "nothing more".to_owned());
+    row(
+        "list and settings",
+        list,
+        format!(
+            "{} settings a second: {} B each at most",
+            number(settings),
+            number((capacity.bounds.control_bytes_per_s - list) / settings)
+        ),
+    );
+    row("and membership", list + MEMBERSHIP_BYTES, "settings as before".to_owned());
+    let left = capacity.bounds.control_bytes_per_s - list - MEMBERSHIP_BYTES;
+    row(
+        "and probes",
+        list + MEMBERSHIP_BYTES,
+        format!("{} probes a second with {} B each, without settings", number(probes), number(left / probes)),
+    );
+    table
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod capacity;
 pub mod cold;
 pub mod dist;
 pub mod emu;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,13 +1,15 @@
 //! The lab's command line. What it says goes to standard output, how it goes to standard error.
 
 use clap::{Parser, Subcommand};
+use hillpick_lab::capacity::runs::Runs;
+use hillpick_lab::capacity::size::Capacity;
 use hillpick_lab::results::{self, Verdict};
 use hillpick_lab::rig::spec::Rig;
 use hillpick_lab::size::Size;
 use hillpick_lab::spec::Experiment;
 use hillpick_lab::stats::Mean;
 use hillpick_lab::strategy::Kind;
-use hillpick_lab::{judge, late, paper, report, rig};
+use hillpick_lab::{capacity, judge, late, paper, report, rig};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -114,6 +116,21 @@
         #[arg(default_value = "experiments")]
         dir: PathBuf,
     },
+    /// Reckons the fleet that is coming from the recorded scale runs and from closed forms, and prints its tables
+    Capacity {
+        /// Puts the tables between their markers on the page
+        #[arg(long)]
+        write: bool,
+        /// What the operators state
+        #[arg(long, value_name = "FILE", default_value = "docs/capacity.toml")]
+        size: PathBuf,
+        /// The recorded runs
+        #[arg(long, value_name = "DIR", default_value = "experiments/scale/results")]
+        runs: PathBuf,
+        /// The page
+        #[arg(long, value_name = "FILE", default_value = "docs/CAPACITY.md")]
+        page: PathBuf,
+    },
     /// Holds the emulator against the paper's Table 2 and the closed forms, and fails where it is off
     Paper {
         /// Only N = 100
@@ -149,6 +166,7 @@
         Command::Throughput { node, seconds } => throughput(node, seconds),
         Command::Pass { to } => rig::throughput::pass(to).map(|()| true).map_err(Into::into),
         Command::List { dir } => list(&dir),
+        Command::Capacity { write, size, runs, page } => show_capacity(&size, &runs, write.then_some(&page)),
         Command::Paper { quick } => Ok(hold_against_the_paper(quick)),
     };
     match done {
@@ -161,6 +179,16 @@
     }
 }
 
+fn show_capacity(size: &Path, runs: &Path, page: Option<&PathBuf>) -> Result<bool, Failure> {
+    let (size, runs) = (Capacity::read(size)?, Runs::read(runs)?);
+    let tables = capacity::tables(&size, &runs);
+    match page {
+        Some(page) => std::fs::write(page, capacity::filled(&std::fs::read_to_string(page)?, &tables)?)?,
+        None => tables.iter().for_each(|table| say!("{}\n\n{}", table.name, table.markdown())),
+    }
+    Ok(true)
+}
+
 fn run(
     file: &Path,
     seeds: Option<u64>,
