--- a/crates/lab/src/capacity/decisions/probes.rs
+++ b/crates/lab/src/capacity/decisions/probes.rs
@@ -1,14 +1,13 @@
-//! What probes cost, and what they show. A request earns a part of a probe (`PRICE_SPEND` in `src/policy/figures.rs` over the
-//! settings' price), and pays for two at most (`probe` in `src/policy/pick.rs`).
+//! What probes cost, and what they show. A request earns so many probes as a hundredth of the service pays for at the settings'
+//! price (`PRICE_SPEND` in `src/policy/figures.rs`). They go out two at a time (`probe` in `src/policy/pick.rs`), and a request
+//! that is still held asks again.
 
 /// The share of the service that probes may cost.
 const SPEND: f64 = 0.01;
-/// The most probes that one request is held for.
-const AT_A_TIME: f64 = 2.0;
 
 /// Probes a request at most, at this price.
 pub fn a_request(price: f64) -> f64 {
-    (SPEND / price).min(AT_A_TIME)
+    SPEND / price
 }
 
 /// The probes a second that keep a fresh report of every server of a subset, where a report is fresh for `fresh_s`.
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -24,8 +24,8 @@
     let mut tables = vec![roles::summary(capacity, runs), roles::counted(capacity, runs), runs::listed(runs)];
     tables.extend(roles::by_role(capacity, runs));
     tables.extend(first_look::tables(capacity));
-    tables.extend(day::tables(capacity, runs));
-    tables.extend(questions::tables(capacity));
+    tables.extend(day::tables(capacity));
+    tables.extend(questions::tables(capacity, runs));
     tables.extend(forms::tables(capacity));
     tables
 }
--- a/crates/lab/src/capacity/size.rs
+++ b/crates/lab/src/capacity/size.rs
@@ -2,8 +2,12 @@
 
 use super::decisions::Meeting;
 use super::decisions::cold::ColdServer;
+use crate::scale::configuration::{Own, Settings};
+use crate::scale::messages::Shape;
 use serde::Deserialize;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
 
 /// The whole file.
 #[derive(Clone, Debug, Deserialize)]
@@ -19,6 +23,9 @@
     pub assumed: Assumed,
     /// What the operators measured themselves at one node.
     pub first_look: Vec<FirstLook>,
+    /// The length of a node's configuration, once it has been written.
+    #[serde(skip)]
+    settings_bytes: OnceLock<f64>,
 }
 
 /// How many there are of what.
@@ -236,6 +243,18 @@
         }
     }
 
+    /// Bytes of a node's configuration, as the scale run writes it, at full size.
+    pub fn settings_bytes(&self) -> f64 {
+        *self.settings_bytes.get_or_init(|| {
+            let Fleet { nodes, zones, tenants, routes, .. } = self.fleet;
+            let [nodes, zones, tenants, routes] = [nodes, zones, tenants, routes].map(|it| it as u32);
+            let settings = Settings::new(Shape { nodes, zones, tenants, routes, probe_ms: 1000 }, 0);
+            let discovery = SocketAddr::from(([127, 0, 0, 1], 8500));
+            let own = Own { number: 0, zone: 0, region: 0, discovery, peers: &[], seed: 1 };
+            settings.text(&own).len() as f64
+        })
+    }
+
     /// A dimension of the scale run at full size, by its name there; none for one that has no full size of its own.
     pub fn dimension(&self, name: &str) -> Option<f64> {
         let Fleet { nodes, servers, routes, tenants, .. } = self.fleet;
