--- a/crates/lab/src/scale/hollow/membership.rs
+++ b/crates/lab/src/scale/hollow/membership.rs
@@ -4,7 +4,7 @@
 use super::node::Message;
 use super::state::{Seen, Shared};
 use hillpick::Tier;
-use hillpick::control::config::{Fleet, MOST_PEERS};
+use hillpick::control::config::Fleet;
 use hillpick_fleet::{Address, Certainty, DATAGRAM, Identity, Membership, Name, Output, Settings};
 use std::cell::RefCell;
 use std::net::{IpAddr, SocketAddr, SocketAddrV4};
@@ -138,7 +138,6 @@
     let mut settings = Settings::usual(&fleet.cluster, place.nodes as usize);
     settings.period = fleet.period;
     settings.patience = fleet.period.mul_f64(PATIENCE);
-    settings.most = MOST_PEERS;
     let seeds = fleet.peers.iter().filter_map(|peer| match peer {
         SocketAddr::V4(peer) => Some(Address::Socket(*peer)),
         SocketAddr::V6(_) => None,
--- a/crates/lab/src/scale/measure.rs
+++ b/crates/lab/src/scale/measure.rs
@@ -5,7 +5,7 @@
 use super::messages::Shape;
 use super::usage;
 use hillpick::control::clock::Clock;
-use hillpick::control::config::{Config, Current, MOST_PEERS};
+use hillpick::control::config::{Config, Current};
 use hillpick::control::discovery::Discovery;
 use hillpick::{Balancer, Event, ListKind, ServerEntry};
 use hillpick_fleet::{Address, Identity, Membership, Name, Output};
@@ -23,6 +23,9 @@
 /// Until what a list left behind on its way has been dropped.
 const QUIET: Duration = Duration::from_millis(300);
 
+/// A hello, and what follows it until both know each other, goes to and fro so often.
+const ROUNDS: usize = 4;
+
 /// How many bytes are allocated now.
 pub type Allocated = fn() -> u64;
 
@@ -123,11 +126,10 @@
     Identity { name, started_ms: 1 + u64::from(number), renewed: 0, address, zone: 0, program: 0 }
 }
 
-/// A member that has heard a hello of each other one.
+/// A member to which each other one has made itself known.
 fn membership(shape: Shape, members: u32) -> Membership {
     let core = |number: u32, seeds| {
-        let mut settings = hillpick_fleet::Settings::usual("scale", shape.nodes as usize);
-        settings.most = MOST_PEERS;
+        let settings = hillpick_fleet::Settings::usual("scale", shape.nodes as usize);
         Membership::new(identity(number), settings, seeds, number.into(), Duration::ZERO)
     };
     let mut first = core(0, Vec::new());
@@ -135,16 +137,29 @@
     let mut now = Duration::ZERO;
     for number in 1..members {
         let mut other = core(number, vec![home]);
-        let mut out = Vec::new();
-        other.tick(Duration::from_secs(1), &mut out);
+        let mut to_first = Vec::new();
+        other.tick(Duration::from_secs(1), &mut to_first);
         now += Duration::from_micros(10);
-        for output in out {
-            if let Output::Send { to, data } = output
-                && to == home
-            {
-                first.hear(now, &data, &mut Vec::new());
+        for _ in 0..ROUNDS {
+            let (mut to_other, mut answers) = (Vec::new(), Vec::new());
+            for data in sent_to(home, to_first) {
+                first.hear(now, &data, &mut to_other);
+            }
+            for data in sent_to(other.me().address, to_other) {
+                other.hear(Duration::from_secs(1), &data, &mut answers);
             }
+            to_first = answers;
         }
     }
     first
 }
+
+fn sent_to(address: Address, outputs: Vec<Output>) -> impl Iterator<Item = Vec<u8>> {
+    outputs.into_iter().filter_map(move |output| match output {
+        Output::Send { to, data } if to == address => Some(data),
+        _ => None,
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -34,8 +34,8 @@
 pub const SERVER_BYTES: usize = 1024;
 /// So many servers may always be listed.
 const SHORT_LIST: usize = 2_000;
-/// Members that are kept.
-pub const MOST_PEERS: usize = 2_000;
+/// Members that are kept, and addresses of nodes that are read.
+pub const MOST_PEERS: usize = hillpick_fleet::MAX_MEMBERS;
 
 #[derive(Deserialize)]
 struct File<'a> {
