--- a/crates/lab/src/capacity/roles.rs
+++ b/crates/lab/src/capacity/roles.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// The part of a run's figure that is this cost.
+#[derive(Clone, Copy)]
+enum Part {
+    Whole,
+    /// What grows: over an empty node.
+    Growth,
+    /// What grows with one dimension.
+    Along(&'static str),
+}
+
 /// A cost of a role.
 struct Line {
     kind: Kind,
@@ -55,8 +65,8 @@
     bound: Option<fn(&Capacity) -> f64>,
     /// The role and the figure of the scale run that measure it.
     run: Option<(&'static str, &'static str)>,
-    /// Of a run's figure, what grows alone: over an empty node.
-    growth_alone: bool,
+    /// The part of a run's figure that counts.
+    part: Part,
     /// A run's figure counts so many times.
     times: f64,
     /// Where it follows without a run.
@@ -96,8 +106,10 @@
     fn find(&self, capacity: &Capacity, runs: &Runs) -> Found {
         let estimate = self.run.and_then(|(role, figure)| runs.estimate(role, figure, capacity));
         if let Some(mut estimate) = estimate {
-            if self.growth_alone {
-                estimate = estimate.growth();
+            match self.part {
+                Part::Whole => {}
+                Part::Growth => estimate = estimate.growth(),
+                Part::Along(dimension) => estimate = estimate.growth().along(dimension),
             }
             return Found::Estimate(estimate.times(self.times));
         }
--- a/crates/lab/src/capacity/roles/control.rs
+++ b/crates/lab/src/capacity/roles/control.rs
@@ -127,9 +127,10 @@
             format!("{} s x {}", number(first_look::processor_by_servers(it).slope), number(zone(it).round()))
         },
     ),
-    line(Kind::Memory, "steady memory by servers; allocated, where a run says it", "B")
+    line(Kind::Memory, "resident memory by servers", "B")
         .bound(memory)
-        .run("hollow node", "state of the server table")
+        .run("real node", "resident memory")
+        .along("servers")
         .first_look(
             |it| first_look::memory_by_servers(it).at(it.fleet.servers) * MB,
             |it| format!("({}) MB", along(first_look::memory_by_servers(it), it.fleet.servers)),
@@ -165,9 +166,10 @@
         |it| format!("{} B x {}", number(it.settings_bytes()), over(it.day.changes, DAY_S)),
     ),
     line(Kind::Processor, "taking in settings", "s"),
-    line(Kind::Memory, "steady memory by routes; allocated, where a run says it", "B")
+    line(Kind::Memory, "resident memory by routes", "B")
         .bound(memory)
-        .run("hollow node", "state of the configuration")
+        .run("real node", "resident memory")
+        .along("routes")
         .first_look(
             |it| first_look::memory_by_routes(it).at(it.fleet.routes) * MB,
             |it| format!("({}) MB, two points", along(first_look::memory_by_routes(it), it.fleet.routes)),
@@ -184,9 +186,10 @@
         .run("hollow node", "state of routes and tenants"),
     line(Kind::Messages, "between nodes", "1/s").form(|_| 0.0, |_| "it sends nothing".to_owned()),
     line(Kind::Processor, "taking in all tenants at the start", "s"),
-    line(Kind::Memory, "steady memory by tenants; allocated, where a run says it", "B")
+    line(Kind::Memory, "resident memory by tenants", "B")
         .bound(memory)
-        .run("hollow node", "state of routes and tenants")
+        .run("real node", "resident memory")
+        .along("tenants")
         .first_look(
             |it| first_look::memory_by_tenants(it).at(it.fleet.tenants) * MB,
             |it| format!("({}) MB, two points", along(first_look::memory_by_tenants(it), it.fleet.tenants)),
@@ -197,9 +200,7 @@
     line(Kind::State, "members, against those that a node keeps", "")
         .bound(|_| MOST_PEERS)
         .form(|it| it.fleet.nodes, |it| number(it.fleet.nodes)),
-    line(Kind::State, "bytes by structure, of 2,000 members at most", "B")
-        .bound(memory)
-        .run("hollow node", "state of the membership"),
+    line(Kind::State, "bytes by structure", "B").bound(memory).run("hollow node", "state of the membership"),
     line(Kind::Messages, "datagrams out", "B/s")
         .bound(bytes_per_s)
         .run("hollow node", "bytes of datagrams out"),
@@ -269,7 +270,7 @@
     },
     Role {
         name: "membership",
-        mechanism: "`crates/fleet/`, off in `run`; over 2,000 members: none yet",
+        mechanism: "`crates/fleet/`, `src/control/peers.rs`, off in `run`",
         lines: MEMBERSHIP,
     },
     Role { name: "saved files", mechanism: "`src/control/saved_file.rs`, whole each time", lines: SAVED },
--- a/crates/lab/src/capacity/roles/costs.rs
+++ b/crates/lab/src/capacity/roles/costs.rs
@@ -1,6 +1,6 @@
 //! How a cost of a role is written down, the bounds of a node, and the arithmetic that several roles share.
 
-use super::{Basis, Form, Kind, Line};
+use super::{Basis, Form, Kind, Line, Part};
 use crate::capacity::decisions::{connections, probes};
 use crate::capacity::first_look;
 use crate::capacity::size::Capacity;
@@ -12,7 +12,7 @@
 pub const MB: f64 = 1e6;
 
 pub const fn line(kind: Kind, what: &'static str, unit: &'static str) -> Line {
-    Line { kind, what, unit, bound: None, run: None, growth_alone: false, times: 1.0, form: None }
+    Line { kind, what, unit, bound: None, run: None, part: Part::Whole, times: 1.0, form: None }
 }
 
 impl Line {
@@ -27,7 +27,12 @@
     }
 
     pub const fn over_an_empty_node(mut self) -> Self {
-        self.growth_alone = true;
+        self.part = Part::Growth;
+        self
+    }
+
+    pub const fn along(mut self, dimension: &'static str) -> Self {
+        self.part = Part::Along(dimension);
         self
     }
 
--- a/crates/lab/src/capacity/runs.rs
+++ b/crates/lab/src/capacity/runs.rs
@@ -136,6 +136,13 @@
         self
     }
 
+    /// What grows with one dimension, of what grows.
+    pub fn along(mut self, dimension: &str) -> Self {
+        self.terms.retain(|term| term.against == dimension);
+        self.value = self.rest + self.terms.iter().map(|term| term.slope * term.full).sum::<f64>();
+        self
+    }
+
     /// So many of it.
     pub fn times(mut self, many: f64) -> Self {
         self.value *= many;
