Put the runs at one size into the capacity page

A rack, 50 changes of settings and a tenth of the nodes restarted were run at one size each; the page shows what they measured and carries none of it to full size.

--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -21,7 +21,12 @@
 
 /// All tables of the page, in no order that matters: each stands at its markers.
 pub fn tables(capacity: &Capacity, runs: &Runs) -> Vec<Table> {
-    let mut tables = vec![roles::summary(capacity, runs), roles::counted(capacity, runs), runs::listed(runs)];
+    let mut tables = vec![
+        roles::summary(capacity, runs),
+        roles::counted(capacity, runs),
+        runs::listed(runs),
+        runs::at_one_size(runs),
+    ];
     tables.extend(roles::by_role(capacity, runs));
     tables.extend(first_look::tables(capacity));
     tables.extend(day::tables(capacity));
--- a/crates/lab/src/capacity/runs.rs
+++ b/crates/lab/src/capacity/runs.rs
@@ -242,3 +242,42 @@
     }
     table
 }
+
+/// Runs at one size, as measured there: nothing of them is carried to full size.
+pub(super) fn at_one_size(runs: &Runs) -> Table {
+    let figures = [
+        ("hollow node", "processor, worst second", "a node's processor, worst second, core"),
+        (
+            "hollow node",
+            "bytes of lists of changes in, worst second",
+            "list changes to a node, worst second, B/s",
+        ),
+        ("hollow node", "bytes of whole lists in, worst second", "whole lists to a node, worst second, B/s"),
+        (
+            "list server",
+            "bytes of whole lists out, worst second",
+            "whole lists of a list server, worst second, B/s",
+        ),
+        (
+            "hollow node",
+            "change of the list in force at 100 % of the nodes, worst change",
+            "list change in force at all, worst, s",
+        ),
+        (
+            "hollow node",
+            "settings in force at 100 % of the nodes, worst change",
+            "settings in force at all, worst, s",
+        ),
+        ("hollow node", "ready after restart, 100 %", "last restarted node ready, s"),
+    ];
+    let titles: Vec<_> = ["run", "nodes", "servers"].into_iter().chain(figures.map(|it| it.2)).collect();
+    let mut table = Table::new("troubles", &titles);
+    for run in runs.all.iter().filter(|run| run.fits.is_empty()) {
+        for point in &run.points {
+            let head = [name(run), number(point.size.nodes.into()), number(point.size.servers.into())];
+            let value = |(role, figure, _)| point.value(role, figure).map_or("-".to_owned(), number);
+            table.row(head.into_iter().chain(figures.map(value)));
+        }
+    }
+    table
+}
