--- a/crates/lab/src/emu/clients.rs
+++ b/crates/lab/src/emu/clients.rs
@@ -176,7 +176,8 @@
         self.nodes[node as usize].open.insert(of);
         let request = &self.requests[request as usize];
         let clients = &self.plan.experiment.clients;
-        let cost = clients.hint.map(|off| {
+        let off = clients.hint;
+        let cost = clients.hints.then(|| {
             let mut random = chance(self.seed, OF_RETRY + 1, it.request.into());
             crate::time::duration(secs(request.work * (1.0 + off * (2.0 * random.random::<f64>() - 1.0))))
         });
--- a/crates/lab/src/emu/plan.rs
+++ b/crates/lab/src/emu/plan.rs
@@ -145,6 +145,8 @@
         let demand = if clients.zones.is_empty() { &even } else { &clients.zones };
         let model = Model {
             cores: servers.cores as usize,
+            slots: servers.slots.max(servers.cores) as usize,
+            sharing: servers.sharing,
             waiting: servers.waiting,
             cold_share: servers.cold_share,
             warm: secs(servers.warm_s),
--- a/crates/lab/src/emu/server.rs
+++ b/crates/lab/src/emu/server.rs
@@ -12,8 +12,12 @@
 /// What all servers of a world have in common.
 #[derive(Clone, Debug)]
 pub struct Model {
-    /// Requests in work at a time.
+    /// Cores that work.
     pub cores: usize,
+    /// Requests in work at a time. Beyond the cores they share them.
+    pub slots: usize,
+    /// What is left of the cores' work when all slots are taken, as a share; less is lost when fewer are.
+    pub sharing: f64,
     /// Requests that may wait.
     pub waiting: usize,
     /// Capacity at a cold start, as a share.
@@ -163,7 +167,21 @@
         (model.cold_share + (1.0 - model.cold_share) * grown).min(1.0)
     }
 
+    /// How fast one request goes on, of as many as are in work.
     fn rate(&self, model: &Model) -> f64 {
+        let (running, cores) = (self.running.len().max(1) as f64, model.cores as f64);
+        self.core_rate(model) * (cores / running).min(1.0)
+    }
+
+    /// The share of the cores' work that is not lost to sharing.
+    fn efficiency(&self, model: &Model) -> f64 {
+        let beyond = self.running.len().saturating_sub(model.cores) as f64;
+        let most = (model.slots - model.cores).max(1) as f64;
+        1.0 - (1.0 - model.sharing) * beyond / most
+    }
+
+    /// How fast a core works.
+    fn core_rate(&self, model: &Model) -> f64 {
         if self.still > 0 {
             return 0.0;
         }
@@ -176,14 +194,15 @@
             let full = f64::from(self.connections) / f64::from(model.connections.max(1));
             crowd /= 1.0 - model.full_tax * full.min(1.0);
         }
-        self.slowed.iter().fold(self.speed / crowd, |rate, (_, factor)| rate / factor)
+        let speed = self.speed * self.efficiency(model) / crowd;
+        self.slowed.iter().fold(speed, |rate, (_, factor)| rate / factor)
     }
 
     /// How long a request of the mean work that comes now would take, in those that a warm one with nothing to do takes;
     /// `None` if it would get nothing done.
     pub fn takes(&self, model: &Model, now: Nanos) -> Option<f64> {
         let turned_away = self.draining || self.waiting.len() >= model.waiting;
-        let pace = self.rate(model) * self.warmth(model, now) * model.cores as f64;
+        let pace = self.core_rate(model) * self.warmth(model, now) * model.cores as f64;
         (self.answers() && !turned_away && pace > 0.0).then(|| (self.held() + 1) as f64 / pace)
     }
 
@@ -235,11 +254,10 @@
         if self.draining {
             return Entered::Rejected;
         }
-        if self.running.len() < model.cores {
+        if self.running.len() < model.slots {
             self.see(model, now, 1);
             self.idle_spell += u32::from(self.running.is_empty());
-            let (end, plan) = self.plan(model, now, attempt, work);
-            planned.push((attempt, end, plan));
+            self.begin(model, now, attempt, work, planned);
             return Entered::Running;
         }
         if self.waiting.len() >= model.waiting {
@@ -267,10 +285,33 @@
     }
 
     fn next(&mut self, model: &Model, now: Nanos, planned: &mut Vec<(AttemptNo, Nanos, u32)>) {
-        while self.running.len() < model.cores {
+        if self.waiting.is_empty() {
+            return self.share(model, now, planned);
+        }
+        while self.running.len() < model.slots {
             let Some((attempt, work)) = self.waiting.pop_front() else { return };
-            let (end, plan) = self.plan(model, now, attempt, work);
-            planned.push((attempt, end, plan));
+            self.begin(model, now, attempt, work, planned);
+        }
+    }
+
+    /// An attempt's work begins, beside what is in work.
+    fn begin(
+        &mut self,
+        model: &Model,
+        now: Nanos,
+        attempt: AttemptNo,
+        work: f64,
+        planned: &mut Vec<(AttemptNo, Nanos, u32)>,
+    ) {
+        let (end, plan) = self.plan(model, now, attempt, work);
+        planned.push((attempt, end, plan));
+        self.share(model, now, planned);
+    }
+
+    /// More or fewer than before share the cores.
+    fn share(&mut self, model: &Model, now: Nanos, planned: &mut Vec<(AttemptNo, Nanos, u32)>) {
+        if model.slots > model.cores {
+            self.replan(model, now, planned);
         }
     }
 
@@ -384,6 +425,8 @@
     fn model() -> Model {
         Model {
             cores: 1,
+            slots: 1,
+            sharing: 1.0,
             waiting: 2,
             cold_share: 0.1,
             warm: 10 * SECOND,
@@ -466,4 +509,25 @@
         server.enter(&model, 0, 3, 1.8, &mut planned);
         assert_eq!(planned[2].1, SECOND);
     }
+
+    /// Two share a core and lose half of its work by that, so that each goes at a quarter of the speed; alone again, the
+    /// other one goes on at all of it.
+    #[test]
+    fn requests_share_the_cores_and_lose_work_by_it() {
+        let (model, mut server, mut planned) =
+            (Model { slots: 2, sharing: 0.5, ..model() }, warm(), Vec::new());
+        assert_eq!(server.enter(&model, 0, 1, 4.0, &mut planned), Entered::Running);
+        assert_eq!(server.enter(&model, SECOND, 2, 1.0, &mut planned), Entered::Running);
+        assert_eq!(server.enter(&model, SECOND, 3, 1.0, &mut planned), Entered::Waiting);
+        assert!(server.call_off(&model, SECOND, 3, false, &mut planned));
+        let plan_of = |planned: &[(AttemptNo, Nanos, u32)], attempt| {
+            *planned.iter().rfind(|(it, ..)| *it == attempt).expect("a plan")
+        };
+        let (_, end, plan) = plan_of(&planned, 2);
+        assert_eq!(end, 3 * SECOND);
+        assert_eq!(server.finish(&model, end, plan, &mut planned), Some(2));
+        // Two of its four by then, at the full speed of two; one more in two seconds; the last at the full speed.
+        let (_, end, _) = plan_of(&planned, 1);
+        assert_eq!(end, 3 * SECOND + SECOND / 2);
+    }
 }
--- a/crates/lab/src/spec/mod.rs
+++ b/crates/lab/src/spec/mod.rs
@@ -312,8 +312,10 @@
     pub obey_retry_after: bool,
     /// The longest such wait that they obey, in s; 0 if they are told none.
     pub max_retry_after_s: f64,
-    /// Whether a request says what it costs, and by what part that may be off.
-    pub hint: Option<f64>,
+    /// Whether a request says what it costs.
+    pub hints: bool,
+    /// By what part that may be off.
+    pub hint: f64,
     /// Whether clients mark their further tries.
     pub mark_retries: bool,
     /// Keys that requests concern; 0 for none.
@@ -339,7 +341,8 @@
             patience: [0.3, 0.55],
             obey_retry_after: true,
             max_retry_after_s: 2.0,
-            hint: Some(0.15),
+            hints: true,
+            hint: 0.15,
             mark_retries: false,
             keys: 0,
             tenants: 0,
--- a/crates/lab/src/spec/servers.rs
+++ b/crates/lab/src/spec/servers.rs
@@ -22,8 +22,12 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Servers {
-    /// Requests in work at a time.
+    /// Cores that work, one request each.
     pub cores: u32,
+    /// Requests in work at a time, which share the cores; no fewer than these, so that 0 is as many.
+    pub slots: u32,
+    /// The share of the cores' work that is left when all slots are taken; what is lost grows evenly up to there.
+    pub sharing: f64,
     /// Speeds of the machine kinds, dealt out in turn; the mean server has 1.
     pub speeds: Vec<f64>,
     /// How far single servers are from the speed of their kind: a coefficient of variation, log-normal.
@@ -70,6 +74,8 @@
     fn default() -> Self {
         Servers {
             cores: 1,
+            slots: 0,
+            sharing: 1.0,
             speeds: vec![1.0],
             speed_cv: 0.0,
             waiting: 64,
@@ -119,6 +125,8 @@
     /// What can be checked without the rest of the file.
     pub(super) fn check(&self, found: &mut Checks) {
         found.that("servers.cores", self.cores, (1..=1024).contains(&self.cores), "1 to 1024");
+        found.that("servers.slots", self.slots, self.slots <= 1024, "0 to 1024");
+        found.within("servers.sharing", self.sharing, 0.01, 1.0);
         found.that("servers.cell", self.cell, self.cell > 0, "at least 1");
         let speeds = self.speeds.iter().all(|speed| *speed > 0.0 && speed.is_finite());
         let speeds = speeds && !self.speeds.is_empty() && self.speeds.len() < 256;
--- a/crates/lab/tests/emulator.rs
+++ b/crates/lab/tests/emulator.rs
@@ -398,6 +398,20 @@
 }
 
 /// Whatever a server held when it died ends as a reset; nobody waits for it, and what it does later is new.
+/// Early time-outs whose work goes on must not bring a fleet down whose servers share their cores: the file's expectations
+/// fail if nothing pays for them (docs/incidents/malanad.md).
+#[test]
+fn a_fleet_whose_servers_share_their_cores_is_as_its_file_expects() {
+    let file =
+        PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../../experiments/days/shared-cores.toml"));
+    let experiment = Experiment::read(&file).unwrap_or_else(|problem| panic!("{problem}"));
+    let jobs = results::jobs(&experiment, &experiment.sizes, experiment.seeds);
+    let outcomes = results::play(&experiment, &jobs, None, false).expect("outcomes");
+    for verdict in results::verdicts(&experiment, &experiment.sizes, &outcomes) {
+        assert!(verdict.holds, "{} at {}: {}", verdict.expected, verdict.size, verdict.got);
+    }
+}
+
 #[test]
 fn a_server_that_dies_takes_what_it_holds_with_it() {
     let crash = "clients = { load = 0.95, patience = [1.0, 1.0] }\n[[faults]]\nkind = 'crash'\nat = 3.0\nlasts = 2.0\n\
