Hold a subset of a long server list, and the rest in some tens of bytes a server

At 52,000 servers, 110,000 tenants and 22,000 routes a node took 1.6 times the memory that it may, most of it for servers that it never uses.

With `subset` in its file a node holds a stretch of the ring of ready servers in full: as many nodes for each server, one server moved at either end by a change, the same decisions as with all of the list. src/policy/subset.rs decides which stretch; src/control/roster/ keeps the rest. Off unless configured.

--- a/crates/lab/src/capacity/size.rs
+++ b/crates/lab/src/capacity/size.rs
@@ -248,7 +248,8 @@
         *self.settings_bytes.get_or_init(|| {
             let Fleet { nodes, zones, tenants, routes, .. } = self.fleet;
             let [nodes, zones, tenants, routes] = [nodes, zones, tenants, routes].map(|it| it as u32);
-            let settings = Settings::new(Shape { nodes, zones, tenants, routes, probe_ms: 1000 }, 0);
+            let settings =
+                Settings::new(Shape { nodes, zones, tenants, routes, probe_ms: 1000, subset: None }, 0);
             let discovery = SocketAddr::from(([127, 0, 0, 1], 8500));
             let own = Own { number: 0, zone: 0, region: 0, discovery, peers: &[], seed: 1 };
             settings.text(&own).len() as f64
--- a/crates/lab/src/scale/bounds.rs
+++ b/crates/lab/src/scale/bounds.rs
@@ -16,6 +16,8 @@
 const NODE: f64 = 5e5;
 /// Bytes for each server in a node, from a real node's resident memory: 26 MB at 31,000.
 const NODE_SERVER: f64 = 850.0;
+/// For each server that a node lists and does not hold, likewise; a list on its way takes it.
+const NODE_LISTED: f64 = 400.0;
 /// For each tenant, likewise: 19 MB at 110,000.
 const NODE_TENANT: f64 = 175.0;
 /// For each route, likewise: 26 MB at 22,000.
@@ -104,8 +106,10 @@
 #[must_use]
 pub fn need(scale: &Scale, size: &ScaleSize) -> Need {
     let (nodes, servers) = (f64::from(size.nodes), f64::from(size.servers));
+    let held = scale.subset.map_or(servers, |subset| servers.min(f64::from(subset) * f64::from(scale.zones)));
     let node = NODE
-        + servers * NODE_SERVER
+        + held * NODE_SERVER
+        + (servers - held) * NODE_LISTED
         + f64::from(size.tenants) * NODE_TENANT
         + f64::from(size.routes) * NODE_ROUTE
         + nodes * NODE_MEMBER;
--- a/crates/lab/src/scale/configuration.rs
+++ b/crates/lab/src/scale/configuration.rs
@@ -76,9 +76,10 @@
     /// The whole configuration of a node.
     #[must_use]
     pub fn text(&self, own: &Own) -> String {
-        let Shape { nodes, probe_ms, .. } = self.shape;
+        let Shape { nodes, probe_ms, subset, .. } = self.shape;
         let host = address_of_region(own.region);
-        let file = json!({
+        let subset = subset.map(|servers| json!({"servers": servers}));
+        let file = json!({"subset": subset,
             "name": format!("n{}", own.number), "listen": "127.0.0.1:0", "ops": "127.0.0.1:0",
             "discovery": own.discovery, "seed": format!("{:016x}", own.seed),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
--- a/crates/lab/src/scale/configuration/tests.rs
+++ b/crates/lab/src/scale/configuration/tests.rs
@@ -3,7 +3,7 @@
 
 #[test]
 fn a_node_takes_it() {
-    let shape = Shape { nodes: 50, zones: 9, tenants: 30, routes: 12, probe_ms: 1000 };
+    let shape = Shape { nodes: 50, zones: 9, tenants: 30, routes: 12, probe_ms: 1000, subset: None };
     let peers = ["127.0.0.1:7000".parse().unwrap()];
     let discovery = "127.0.0.1:7001".parse().unwrap();
     let own = Own { number: 7, zone: 3, region: 2, discovery, peers: &peers, seed: 5 };
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -130,6 +130,7 @@
             tenants: size.tenants,
             routes: size.routes,
             probe_ms: scale.probe_ms,
+            subset: scale.subset,
         };
         let (mut hollow, mut addresses) = (Vec::new(), Vec::new());
         for process in 0..scale.hollow_processes {
--- a/crates/lab/src/scale/hollow/node.rs
+++ b/crates/lab/src/scale/hollow/node.rs
@@ -5,6 +5,7 @@
 use crate::scale::configuration::{GIVE_UP_MS, ROUTES_USED, WORK_MS};
 use hillpick::control::clock::Clock;
 use hillpick::control::config::Config;
+use hillpick::control::roster::{Roster, SubsetUpdate};
 use hillpick::control::updates::{DiscoveryCommand, ListUpdate};
 use hillpick::settings::{Replacement, Site};
 use hillpick::{
@@ -71,6 +72,7 @@
     balancer: Balancer,
     site: Arc<Site>,
     discovery: mpsc::Sender<DiscoveryCommand>,
+    roster: Option<Roster>,
     listed: Rc<Cell<bool>>,
     /// Since when it is ready, in ms of Unix time.
     ready_ms: Option<u64>,
@@ -112,6 +114,7 @@
         Node {
             clock,
             began,
+            roster: config.subset.map(|servers| Roster::new(servers, balancer.ring_layout())),
             balancer,
             site: config.site.clone(),
             discovery,
@@ -150,11 +153,15 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::List(update) => self.take_list(update),
-            Message::Tier(tier) => self.decide(Event::Tier(tier)),
+            Message::Tier(tier) => {
+                self.decide(Event::Tier(tier));
+                self.move_subset();
+            }
             Message::Settings(replacement, version, made_ms) => {
                 let Replacement { site, settings, classes, tenants } = *replacement;
                 self.site = site;
                 self.decide(Event::Settings { settings, classes, tenants });
+                self.move_subset();
                 self.seen.borrow_mut().settings = version;
                 self.shared.settings.borrow_mut().note(made_ms, self.clock.now().as_millis() as u64);
             }
@@ -163,13 +170,19 @@
 
     fn take_list(&mut self, update: ListUpdate) {
         let kind = update.kind;
-        let entries: Vec<_> = update.backends.into_iter().map(|backend| backend.entry).collect();
+        let entries = update.backends.iter().map(|backend| &backend.entry);
         // A run gives each change a start of its own, by which it is known here.
         let mut starts: Vec<_> =
-            entries.iter().filter_map(|it| it.started).map(|at| at.as_millis() as u64).collect();
+            entries.filter_map(|it| it.started).map(|at| at.as_millis() as u64).collect();
         starts.sort_unstable();
         starts.dedup();
-        self.decide(Event::List { kind, entries });
+        match &mut self.roster {
+            Some(roster) => {
+                let told = roster.take(update, self.balancer.ring_layout());
+                self.take_subset(told);
+            }
+            None => self.tell(update),
+        }
         let now_ms = self.clock.now().as_millis() as u64;
         // What was made before this life began is no news here, even if it comes as a change.
         if let Some(ready_ms) = self.ready_ms.filter(|_| kind == ListKind::Changes) {
@@ -181,6 +194,22 @@
         seen.held_ms = seen.held_ms.max(starts.last().copied().unwrap_or_default());
     }
 
+    fn move_subset(&mut self) {
+        let layout = self.balancer.ring_layout();
+        let moved = self.roster.as_mut().and_then(|roster| roster.move_to(layout));
+        moved.into_iter().for_each(|told| self.take_subset(told));
+    }
+
+    fn take_subset(&mut self, told: SubsetUpdate) {
+        self.decide(Event::Rings(told.rings));
+        self.tell(told.update);
+    }
+
+    fn tell(&mut self, update: ListUpdate) {
+        let entries = update.backends.into_iter().map(|backend| backend.entry).collect();
+        self.decide(Event::List { kind: update.kind, entries });
+    }
+
     /// A long list comes in slices; only its end makes the node ready.
     fn note_ready(&mut self) {
         if self.ready_ms.is_some() || !self.listed.get() {
--- a/crates/lab/src/scale/measure.rs
+++ b/crates/lab/src/scale/measure.rs
@@ -7,7 +7,9 @@
 use hillpick::control::clock::Clock;
 use hillpick::control::config::{Config, Current};
 use hillpick::control::discovery::Discovery;
-use hillpick::{Balancer, Event, ListKind, ServerEntry};
+use hillpick::control::roster::Roster;
+use hillpick::control::updates::ListUpdate;
+use hillpick::{Balancer, Event};
 use hillpick_fleet::{Address, Identity, Membership, Name, Output};
 use std::cell::Cell;
 use std::io;
@@ -68,15 +70,22 @@
     let ready = discovery.ready();
     let client = spawn_local(discovery.run(discovery_orders));
     let updates = whole_list(&mut inbox, &ready).await?;
-    let entries = updates.iter().map(|(_, entries)| std::mem::size_of_val(entries.as_slice()) as u64);
+    let entries = updates.iter().map(|it| std::mem::size_of_val(it.backends.as_slice()) as u64);
     let taken = entries.sum::<u64>() + std::mem::size_of_val(updates.as_slice()) as u64;
     note("state of the discovery client", before + taken);
 
     let before = allocated();
     let mut actions = Vec::new();
-    for (kind, entries) in &updates {
-        let event = Event::List { kind: *kind, entries: entries.clone() };
-        balancer.handle(clock.now(), event, &mut actions);
+    let mut roster = config.subset.map(|servers| Roster::new(servers, balancer.ring_layout()));
+    for update in &updates {
+        let mut update = ListUpdate { kind: update.kind, backends: update.backends.clone() };
+        if let Some(roster) = &mut roster {
+            let told = roster.take(update, balancer.ring_layout());
+            balancer.handle(clock.now(), Event::Rings(told.rings), &mut actions);
+            update = told.update;
+        }
+        let entries = update.backends.into_iter().map(|backend| backend.entry).collect();
+        balancer.handle(clock.now(), Event::List { kind: update.kind, entries }, &mut actions);
         actions.clear();
     }
     drop(actions);
@@ -93,7 +102,7 @@
         "resident memory of the structures".into(),
         resident().saturating_sub(resident_before) as f64,
     ));
-    drop((core, balancer, config));
+    drop((core, balancer, roster, config));
     client.abort();
     Ok(found)
 }
@@ -102,16 +111,16 @@
 async fn whole_list(
     inbox: &mut mpsc::Receiver<Message>,
     ready: &Rc<Cell<bool>>,
-) -> io::Result<Vec<(ListKind, Vec<ServerEntry>)>> {
+) -> io::Result<Vec<ListUpdate>> {
     let mut updates = Vec::new();
     let end = Instant::now() + PATIENCE;
     while !ready.get() || !inbox.is_empty() {
         if Instant::now() > end {
             return Err(io::Error::other("no list came"));
         }
-        if let Ok(Some(Message::List(update))) = timeout(QUIET, inbox.recv()).await {
-            let entries: Vec<_> = update.backends.iter().map(|backend| backend.entry).collect();
-            updates.push((update.kind, entries));
+        if let Ok(Some(Message::List(mut update))) = timeout(QUIET, inbox.recv()).await {
+            update.backends.shrink_to_fit();
+            updates.push(update);
         }
     }
     updates.shrink_to_fit();
--- a/crates/lab/src/scale/messages.rs
+++ b/crates/lab/src/scale/messages.rs
@@ -90,6 +90,8 @@
     pub routes: u32,
     /// How often a node probes another, in ms.
     pub probe_ms: u64,
+    /// How many servers of the list a node holds, if not all.
+    pub subset: Option<u32>,
 }
 
 /// What a part is told to do.
--- a/crates/lab/src/scale/spec.rs
+++ b/crates/lab/src/scale/spec.rs
@@ -2,6 +2,7 @@
 
 use super::results::ScaleSize;
 use crate::spec::Problem;
+use hillpick::control::config::MOST_SUBSET;
 use serde::Deserialize;
 use std::path::Path;
 
@@ -70,6 +71,8 @@
     /// How often a node probes another, in ms.
     #[serde(default = "probe_ms")]
     pub probe_ms: u64,
+    /// How many servers of the list a node holds; without it all.
+    pub subset: Option<u32>,
     /// Regions, and zones over all of them.
     #[serde(default = "regions")]
     pub regions: u32,
@@ -303,6 +306,8 @@
         within("requests_per_s", self.requests_per_s, 0.0, 2_000.0)?;
         within("arrivals_per_s", self.arrivals_per_s, 0.0, 1_000.0)?;
         within("probe_ms", self.probe_ms as f64, 100.0, 60_000.0)?;
+        let subset = self.subset.unwrap_or(hillpick::LEAST_SUBSET as u32);
+        within("subset", f64::from(subset), hillpick::LEAST_SUBSET as f64, MOST_SUBSET as f64)?;
         within("zones", f64::from(self.zones), 1.0, f64::from(MOST_ZONES))?;
         within("regions", f64::from(self.regions), 1.0, f64::from(self.zones))?;
         let counts = [
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -8,7 +8,8 @@
 use hillpick::control::clock::Clock;
 use hillpick::control::config::Config;
 use hillpick::control::log::log;
-use hillpick::control::updates::DiscoveryCommand;
+use hillpick::control::roster::{Roster, SubsetUpdate};
+use hillpick::control::updates::{DiscoveryCommand, ListUpdate};
 use hillpick::settings::{Replacement, Site};
 use hillpick::*;
 use std::cmp::Reverse;
@@ -62,6 +63,8 @@
     pool: Rc<Pool>,
     messages: mpsc::Sender<Message>,
     discovery: mpsc::Sender<DiscoveryCommand>,
+    /// All of the list, where balancer and pool hold a subset of it.
+    roster: Option<Roster>,
     /// The settings that the module goes by.
     site: Arc<Site>,
     held: BTreeMap<RequestId, Held>,
@@ -77,14 +80,15 @@
         messages: mpsc::Sender<Message>,
         discovery: mpsc::Sender<DiscoveryCommand>,
     ) -> Self {
-        let settings = config.site.settings.clone();
+        let balancer = Balancer::new(config.site.settings.clone(), config.seed);
         Node {
             clock,
             pool,
             messages,
             discovery,
             site: config.site.clone(),
-            balancer: Balancer::new(settings, config.seed),
+            roster: config.subset.map(|servers| Roster::new(servers, balancer.ring_layout())),
+            balancer,
             held: BTreeMap::new(),
             timers: BinaryHeap::new(),
             timers_set: 0,
@@ -140,12 +144,11 @@
                 let elapsed = self.clock.now().saturating_sub(sent);
                 self.decide(Event::Probed(ProbeEnd { server, outcome, elapsed, report }));
             }
-            Message::List(news) => {
-                self.pool.update(news.kind, &news.backends, self.clock.now());
-                let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
-                self.decide(Event::List { kind: news.kind, entries });
+            Message::List(news) => self.on_list(news),
+            Message::Tier(tier) => {
+                self.decide(Event::Tier(tier));
+                self.move_subset();
             }
-            Message::Tier(tier) => self.decide(Event::Tier(tier)),
             Message::Zones(order, reply) => {
                 let told = self.zones(order);
                 let _ = reply.send(told); // who asked may have gone
@@ -160,10 +163,39 @@
                 let Replacement { site, settings, classes, tenants } = *replacement;
                 self.site = site;
                 self.decide(Event::Settings { settings, classes, tenants });
+                self.move_subset();
             }
         }
     }
 
+    fn on_list(&mut self, news: ListUpdate) {
+        match &mut self.roster {
+            Some(roster) => {
+                let told = roster.take(news, self.balancer.ring_layout());
+                self.take_subset(told);
+            }
+            None => self.take_list(news),
+        }
+    }
+
+    /// The node's place among the others may have changed, and its part of the rings with it.
+    fn move_subset(&mut self) {
+        let layout = self.balancer.ring_layout();
+        let moved = self.roster.as_mut().and_then(|roster| roster.move_to(layout));
+        moved.into_iter().for_each(|told| self.take_subset(told));
+    }
+
+    fn take_subset(&mut self, told: SubsetUpdate) {
+        self.decide(Event::Rings(told.rings));
+        self.take_list(told.update);
+    }
+
+    fn take_list(&mut self, update: ListUpdate) {
+        self.pool.update(update.kind, &update.backends, self.clock.now());
+        let entries = update.backends.into_iter().map(|backend| backend.entry).collect();
+        self.decide(Event::List { kind: update.kind, entries });
+    }
+
     fn on_request(&mut self, taken: Box<Taken>) {
         let Taken { mut new, at, forward, reply } = *taken;
         let (id, deadline) = (new.id, forward.deadline.get());
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -5,6 +5,8 @@
 #[cfg(test)]
 mod tests;
 
+use crate::LEAST_SUBSET;
+use crate::control::roster::LISTED_BYTES;
 use crate::settings::{self, Names, Replacement, Site, ZonesText};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -32,6 +34,8 @@
 /// What a listed server takes of a node's memory at most, in bytes: its places in the module, the pool and the discovery
 /// client, and its part of a list that is being taken in.
 pub const SERVER_BYTES: usize = 1024;
+/// The most that a subset may be, for each ring.
+pub const MOST_SUBSET: usize = 16_384;
 /// So many servers may always be listed.
 const SHORT_LIST: usize = 2_000;
 /// Members that are kept, and addresses of nodes that are read.
@@ -62,10 +66,19 @@
     /// How far the zones are; without it zones are alike.
     #[serde(default)]
     zones: Option<ZonesText>,
+    /// How much of a long list the node holds; without it all of it.
+    #[serde(default)]
+    subset: Option<SubsetFile>,
     #[serde(borrow)]
     settings: &'a RawValue,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SubsetFile {
+    servers: usize,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct FleetFile {
@@ -131,8 +144,10 @@
     pub backend_connections: usize,
     /// How much of clients' bodies may be kept at a time.
     pub body_room_kib: usize,
-    /// The most servers in a list: half of the memory, at [`SERVER_BYTES`] each.
+    /// The most servers in a list: half of the memory, at [`SERVER_BYTES`] each, or [`LISTED_BYTES`] where a subset is held.
     pub longest_list: usize,
+    /// How many servers of each ring the node holds, if it does not hold all.
+    pub subset: Option<usize>,
     /// The list of backends as this node last had it: discovery's JSON, perhaps old. Large; whoever keeps the
     /// configuration gives it up by [`Config::without_known`] once discovery has it.
     pub known: Option<String>,
@@ -267,6 +282,15 @@
         if site.settings.limits.max_attempts == 0 {
             return Err(Problem::NoAttempts);
         }
+        let subset = match file.subset {
+            Some(subset) => Some(subset),
+            None => from_env::<SubsetFile>("SILLWARD_SUBSET")?,
+        };
+        let subset = subset.map(|subset| subset.servers);
+        if let Some(servers) = subset.filter(|servers| !(LEAST_SUBSET..=MOST_SUBSET).contains(servers)) {
+            return Err(Problem::Subset(servers));
+        }
+        let server_bytes = if subset.is_some() { LISTED_BYTES } else { SERVER_BYTES };
         let wanted = match file.fleet {
             Some(fleet) => Some(fleet),
             None if site.peers && file.peer_listen.is_some() => from_env::<FleetFile>("SILLWARD_FLEET")?,
@@ -293,7 +317,8 @@
             // A quarter of the memory; one body at least, or nobody would ever be read.
             body_room_kib: (file.limits.memory_mb.saturating_mul(1024) / 4)
                 .clamp(KEPT_BODY / 1024, Semaphore::MAX_PERMITS),
-            longest_list: (file.limits.memory_mb.saturating_mul(1 << 20) / 2 / SERVER_BYTES).max(SHORT_LIST),
+            longest_list: (file.limits.memory_mb.saturating_mul(1 << 20) / 2 / server_bytes).max(SHORT_LIST),
+            subset,
             known: file.known.map(|known| known.get().to_owned()),
             fleet,
             zones,
@@ -305,7 +330,7 @@
 
 /// An object of the configuration that stands in the environment, for nodes whose configuration is written by somebody who
 /// knows nothing of it: `SILLWARD_FLEET` holds where the file has no `fleet` and allows messages between nodes,
-/// `SILLWARD_ZONES` where it has no `zones`.
+/// `SILLWARD_ZONES` where it has no `zones`, `SILLWARD_SUBSET` where it has no `subset`.
 fn from_env<T: DeserializeOwned>(name: &'static str) -> Result<Option<T>, Problem> {
     let Some(text) = std::env::var_os(name) else { return Ok(None) };
     let parsed = serde_json::from_str(&text.to_string_lossy());
--- a/src/control/config/problem.rs
+++ b/src/control/config/problem.rs
@@ -1,6 +1,7 @@
 //! What can be wrong with a configuration, each with what an operator can do.
 
-use super::{LEAST, MOST_PEERS, SPARE_SOCKETS};
+use super::{LEAST, MOST_PEERS, MOST_SUBSET, SPARE_SOCKETS};
+use crate::LEAST_SUBSET;
 use crate::settings::{self, NameProblem, Names, TooManyNames};
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -93,6 +94,9 @@
     /// The node could not hold a client and a backend at once.
     #[error("limits.sockets = {0}: too few sockets; expected {least} or more", least = SPARE_SOCKETS + LEAST)]
     Sockets(usize),
+    /// The part of a ring that is held is too small to choose from, or too large for what it is for: give another.
+    #[error("subset.servers = {0}: expected {LEAST_SUBSET} to {MOST_SUBSET}")]
+    Subset(usize),
     /// Membership needs messages between nodes.
     #[error(
         "fleet: the settings forbid messages between nodes (Permissions.Peers); expected no fleet, or true there"
--- /dev/null
+++ b/src/control/roster/mod.rs
@@ -0,0 +1,199 @@
+//! The server table of a node that holds a subset of a long list.
+//!
+//! Of each ready server it keeps what is needed to take it into the subset, in some tens of bytes; the balancer and the
+//! connection pool are told of the subset alone. Which part of the list that is, `src/policy/subset.rs` decides. Servers
+//! that are not ready are kept only as far as they are held.
+
+mod listed;
+mod ring;
+#[cfg(test)]
+mod tests;
+
+use crate::control::updates::{Backend, ListUpdate};
+use crate::{HeldRing, ListKind, RingLayout, ServerId, ServerState};
+use listed::Listed;
+use ring::Ring;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// News of the list as far as they concern the subset, to be told to pool and balancer in this order.
+pub struct SubsetUpdate {
+    /// The rings of which a part is held.
+    pub rings: Vec<HeldRing>,
+    /// What enters the subset, changes in it or leaves it.
+    pub update: ListUpdate,
+}
+
+/// All ready servers of the list, and which servers the node holds.
+///
+/// It grows with the ready servers of the list, whose number is bounded by
+/// [`Config::longest_list`](crate::control::config::Config), at [`LISTED_BYTES`] each; what is held is bounded by the
+/// configured size of a part, for each zone, and by those of it that drain.
+pub struct Roster {
+    /// How many servers of each ring are held from the first in use on.
+    servers: usize,
+    layout: RingLayout,
+    /// One for each zone, or one of all.
+    rings: BTreeMap<Option<u8>, Ring>,
+    /// Told to pool and balancer, and not taken back.
+    held: BTreeSet<ServerId>,
+}
+
+/// Bytes that a listed server takes at most: its place here and in the discovery client, and its part of a list that is
+/// being taken in, which is the most of it. Measured with `what_a_subset_costs` (`tests/subset/mod.rs`).
+pub const LISTED_BYTES: usize = 512;
+
+impl Roster {
+    /// An empty list, of whose rings so many servers are to be held.
+    pub fn new(servers: usize, layout: RingLayout) -> Self {
+        Roster { servers, layout, rings: BTreeMap::new(), held: BTreeSet::new() }
+    }
+
+    /// Takes in news of the list.
+    pub fn take(&mut self, news: ListUpdate, layout: RingLayout) -> SubsetUpdate {
+        let ListUpdate { kind, backends } = news;
+        if kind == ListKind::Failed {
+            return SubsetUpdate { rings: self.held_rings(), update: ListUpdate { kind, backends } };
+        }
+        let whole = matches!(kind, ListKind::Full | ListKind::Cached);
+        self.lay_out(layout);
+        if whole {
+            self.rings.clear();
+        }
+        self.note(&backends);
+        let wanted = self.wanted();
+        let mut told = Vec::new();
+        let mut named = BTreeSet::new();
+        for backend in backends {
+            let id = backend.entry.id;
+            let ready = backend.entry.state == ServerState::Ready;
+            let concerns = if ready { wanted.contains(&id) } else { self.held.contains(&id) };
+            if concerns {
+                named.insert(id);
+                told.push(backend);
+            }
+        }
+        self.tell_moves(&wanted, whole, &named, &mut told);
+        if whole {
+            self.held.clear();
+        }
+        self.hold(&told);
+        SubsetUpdate { rings: self.held_rings(), update: ListUpdate { kind, backends: told } }
+    }
+
+    /// The rings are divided otherwise, or not: what that changes, if it changes anything.
+    pub fn move_to(&mut self, layout: RingLayout) -> Option<SubsetUpdate> {
+        if layout == self.layout {
+            return None;
+        }
+        self.lay_out(layout);
+        let mut told = Vec::new();
+        self.tell_moves(&self.wanted(), false, &BTreeSet::new(), &mut told);
+        self.hold(&told);
+        let update = ListUpdate { kind: ListKind::Subset, backends: told };
+        Some(SubsetUpdate { rings: self.held_rings(), update })
+    }
+
+    /// How many ready servers are listed.
+    pub fn ready(&self) -> usize {
+        self.rings.values().map(Ring::len).sum()
+    }
+
+    /// How many servers are held, those that drain among them.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Divides the servers into rings anew, if that is to be by another rule.
+    fn lay_out(&mut self, layout: RingLayout) {
+        let regroup = layout.by_zone != self.layout.by_zone;
+        self.layout = layout;
+        if !regroup {
+            return;
+        }
+        let all = std::mem::take(&mut self.rings).into_values().flat_map(Ring::into_places);
+        for (position, listed) in all {
+            self.rings.entry(self.ring_of(listed.zone())).or_default().put(position, listed);
+        }
+    }
+
+    fn ring_of(&self, zone: u8) -> Option<u8> {
+        self.layout.by_zone.then_some(zone)
+    }
+
+    /// Puts what is ready into its ring, and takes out what is not.
+    fn note(&mut self, backends: &[Backend]) {
+        for backend in backends {
+            let entry = &backend.entry;
+            let ready = entry.state == ServerState::Ready;
+            let (home, position) = (self.ring_of(entry.zone), entry.id.ring_position());
+            if ready {
+                self.rings.entry(home).or_default().put(position, Listed::new(backend));
+            }
+            // A server that is listed in another zone than before leaves its earlier ring.
+            let others = self.rings.iter_mut().filter(|(zone, _)| !ready || **zone != home);
+            others.for_each(|(_, ring)| ring.remove(position));
+        }
+        self.rings.retain(|_, ring| !ring.is_empty());
+    }
+
+    /// The servers that are to be held, of those that are ready.
+    fn wanted(&self) -> BTreeSet<ServerId> {
+        let in_part = |ring| self.part(ring).map(|(position, _)| ServerId::at_ring_position(*position));
+        self.rings.values().flat_map(in_part).collect()
+    }
+
+    /// The part of a ring that is to be held.
+    fn part<'a>(&self, ring: &'a Ring) -> impl Iterator<Item = &'a (u64, Listed)> {
+        let stretch = self.layout.stretch(ring.len(), self.servers);
+        ring.round_from(stretch.begins).take(stretch.length)
+    }
+
+    /// Adds what enters the subset, and what leaves it, beside the servers that are `named` already.
+    fn tell_moves(
+        &self,
+        wanted: &BTreeSet<ServerId>,
+        whole: bool,
+        named: &BTreeSet<ServerId>,
+        told: &mut Vec<Backend>,
+    ) {
+        for id in wanted.iter().filter(|id| !named.contains(id)) {
+            if whole || !self.held.contains(id) {
+                told.extend(self.listed(*id, ServerState::Ready));
+            }
+        }
+        if whole {
+            return; // what a whole list does not name has left
+        }
+        // One that is held and not on a ring drains, and is not told of yet that it is gone.
+        let left = self.held.iter().filter(|id| !wanted.contains(id) && !named.contains(id));
+        told.extend(left.filter_map(|id| self.listed(*id, ServerState::Gone)));
+    }
+
+    /// A ready server as the list has it, but for its state.
+    fn listed(&self, id: ServerId, state: ServerState) -> Option<Backend> {
+        let position = id.ring_position();
+        let listed = self.rings.values().find_map(|ring| ring.get(position));
+        listed.map(|listed| listed.backend(id, state))
+    }
+
+    /// Notes what pool and balancer are told.
+    fn hold(&mut self, told: &[Backend]) {
+        for Backend { entry, .. } in told {
+            if entry.state == ServerState::Gone {
+                self.held.remove(&entry.id);
+            } else {
+                self.held.insert(entry.id);
+            }
+        }
+    }
+
+    /// What the balancer is told of the rings.
+    fn held_rings(&self) -> Vec<HeldRing> {
+        let held = |(zone, ring): (&Option<u8>, &Ring)| {
+            let mut from_first = ring.round_from(self.layout.first(ring.len()));
+            let first = from_first.next().map_or(0, |(position, _)| *position);
+            HeldRing { zone: *zone, ready: ring.len(), first }
+        };
+        self.rings.iter().map(held).collect()
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,6 +9,23 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
+/// The golden ratio's part of 2^64: multiplied by it, neighbouring numbers fall apart.
+const SCATTER: u64 = 0x9e37_79b9_7f4a_7c15;
+/// Its inverse modulo 2^64.
+const GATHER: u64 = 0xf1de_83e1_9937_733d;
+
+impl ServerId {
+    /// Where the server stands on the ring. No two servers share a position.
+    pub fn ring_position(self) -> u64 {
+        self.0.wrapping_mul(SCATTER)
+    }
+
+    /// The server that stands there.
+    pub fn at_ring_position(position: u64) -> Self {
+        ServerId(position.wrapping_mul(GATHER))
+    }
+}
+
 /// A request that this node has taken. Never reused.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
@@ -264,6 +281,28 @@
     pub started: Option<Duration>,
 }
 
+/// How the ring of ready servers is divided among the nodes, as one node sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RingLayout {
+    /// This node's place, from 0.
+    pub node: usize,
+    /// Among how many; at least 1.
+    pub nodes: usize,
+    /// Each zone has a ring of its own.
+    pub by_zone: bool,
+}
+
+/// A ring of which a node holds a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldRing {
+    /// The zone whose servers stand on it; `None` for the ring of all.
+    pub zone: Option<u8>,
+    /// How many ready servers stand on the whole of it.
+    pub ready: usize,
+    /// The [ring position](ServerId::ring_position) of the first server that this node uses.
+    pub first: u64,
+}
+
 /// What a server list event brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
@@ -275,6 +314,9 @@
     Cached,
     /// A call for the list failed, or the subscription broke. No lines.
     Failed,
+    /// Lines that enter the subset of the list which this node holds, or leave it as if gone. The list itself has not
+    /// changed.
+    Subset,
 }
 
 /// A server's own account of its load. Reports lag and are noisy.
@@ -403,6 +445,8 @@
         /// The lines.
         entries: Vec<ServerEntry>,
     },
+    /// From here on the list events bring a subset: the part that is held of each ring. Until this comes they bring all.
+    Rings(Vec<HeldRing>),
     /// A client's request has arrived. The node owes it one final answer.
     Request(NewRequest),
     /// The last byte of a request that was arriving has come.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub use interface::*;
 pub use policy::Balancer;
+pub use policy::subset::{LEAST_SUBSET, Stretch};
 
 /// The README's example, compiled as a test.
 #[cfg(doctest)]
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -10,11 +10,6 @@
 /// The timer has a 64th of the time between calls, and fires once a millisecond at most.
 const LEAST_WITHIN: Duration = Duration::from_millis(64);
 
-/// A server's place on the ring: multiplied by the golden ratio's part of 2^64, neighbouring ids fall apart.
-fn scatter(id: ServerId) -> u64 {
-    id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15)
-}
-
 impl Balancer {
     pub(super) fn on_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
         if kind == ListKind::Failed {
@@ -23,13 +18,14 @@
             self.ask_at = Some(self.now + self.ask_wait.mul_f64(0.5 + self.random() / 2.0));
             return;
         }
-        if kind != ListKind::Cached {
+        if !matches!(kind, ListKind::Cached | ListKind::Subset) {
             (self.ask_at, self.ask_wait) = (None, Duration::ZERO);
         }
         // One newly listed or restarted has the usual estimate: at zero all nodes would join it at once.
         let near = self.enough().min(self.order.len());
-        let count = self.ring().take(near).map(|server| server.count).sum::<u32>() / near.max(1) as u32;
-        if kind != ListKind::Changes {
+        let count = self.ring(None).take(near).map(|server| server.count).sum::<u32>() / near.max(1) as u32;
+        let whole = matches!(kind, ListKind::Full | ListKind::Cached);
+        if whole {
             self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
             self.order.clear();
         }
@@ -44,21 +40,24 @@
             }
             let warm_at = entry.started.map(|at| at + margin(self.settings.rules.warm_after));
             self.warm_at = self.warm_at.max(warm_at.unwrap_or_default());
-            changes.push((scatter(entry.id), (entry.state == ServerState::Ready).then_some(place)));
+            changes.push((entry.id.ring_position(), (entry.state == ServerState::Ready).then_some(place)));
             if entry.state == ServerState::Gone {
                 self.servers.remove(&entry.id);
             }
         }
         merge_ring(&mut self.order, changes);
-        if kind != ListKind::Changes {
+        if whole {
             self.servers.gone().iter().for_each(|id| self.servers.remove(id));
         }
     }
 
     /// All nodes see the same ring of ready servers and start evenly spaced, so that each has as many nodes.
-    pub(super) fn ring(&self) -> impl Iterator<Item = &Server> {
-        let (node, nodes) = self.place();
-        let (before, after) = self.order.split_at(node % nodes * self.order.len() / nodes);
+    pub(super) fn ring(&self, zone: Option<u8>) -> impl Iterator<Item = &Server> {
+        let first = match self.held_rings.iter().find(|ring| ring.zone == zone) {
+            Some(held) => self.order.partition_point(|(at, _)| *at < held.first),
+            None => self.ring_layout().first(self.order.len()),
+        };
+        let (before, after) = self.order.split_at(first);
         after.iter().chain(before).map(|(_, place)| self.servers.at(*place))
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 mod request;
 mod retry;
 mod send;
+pub(crate) mod subset;
 mod tier;
 mod zones;
 
@@ -46,6 +47,7 @@
                 self.on_list(kind, entries);
                 self.tend_zones(true, actions);
             }
+            Event::Rings(rings) => self.held_rings = rings,
             Event::Request(new) => self.on_request(new, actions),
             Event::Arrived { id } => self.on_arrived(id, actions),
             Event::Started { id, attempt, .. } => self.on_started(id, attempt, actions),
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -98,7 +98,7 @@
     /// within a hundredth of the service. Each has a server for every request at once and two to choose from.
     pub(super) fn enough(&self) -> usize {
         let affordable = 100.0 * PRICE_SPEND / self.settings.prices.connections;
-        let part = affordable * self.order.len() as f64 / f64::from(self.nodes());
+        let part = affordable * self.ready() as f64 / f64::from(self.nodes());
         let rate = self.sent.per_s(self.now, self.memory());
         let sightings = SIGHTINGS / if self.probes_tell() { 2.0 } else { 1.0 };
         let in_view = (rate * self.memory()).max(FEW * SIGHTINGS) / sightings;
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -19,7 +19,7 @@
         self.arrived.add(self.now, self.memory(), weight);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(2.0 / RETRY_SHARE);
         let paid = PRICE_SPEND / self.settings.prices.probe.max(1e-9);
-        self.probe_tokens = (self.probe_tokens + paid).min(self.order.len() as f64);
+        self.probe_tokens = (self.probe_tokens + paid).min(self.ready() as f64);
         let (value, probed) = (self.value(terms.worth, new.tenant), !self.probes_tell());
         let long = new.arriving;
         let request =
--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -34,7 +34,7 @@
 
     /// The ring, or the part of it that lies in a zone.
     pub(super) fn ring_in(&self, zone: Option<u8>) -> impl Iterator<Item = &Server> {
-        self.ring().filter(move |server| zone.is_none_or(|zone| server.entry.zone == zone))
+        self.ring(zone).filter(move |server| zone.is_none_or(|zone| server.entry.zone == zone))
     }
 
     /// The parts of the ring that are used each by itself: the zones, or the whole.
--- a/src/state.rs
+++ b/src/state.rs
@@ -266,6 +266,8 @@
     pub(crate) servers: Servers,
     /// The ready servers, in the order of their ring: where on it each stands, and its place.
     pub(crate) order: Vec<(u64, usize)>,
+    /// The rings of which a part is held, one for each zone at most. Empty where all servers are held.
+    pub(crate) held_rings: Vec<HeldRing>,
     /// From then on no server that is listed is cold.
     pub(crate) warm_at: Duration,
     pub(crate) requests: BTreeMap<RequestId, Request>,
@@ -336,6 +338,7 @@
             now: Default::default(),
             servers: Default::default(),
             order: Default::default(),
+            held_rings: Default::default(),
             warm_at: Default::default(),
             requests: Default::default(),
             held: Default::default(),
@@ -420,6 +423,10 @@
                 news.entry(server.entry.zone).or_default()[sign as usize] += 1.0;
             }
         }
+        for ring in &self.held_rings {
+            let zone = ring.zone.and_then(|zone| zones.get_mut(&zone));
+            zone.into_iter().for_each(|zone| zone.ready = ring.ready);
+        }
         for (zone, [served, failed, silent]) in news {
             let Some(it) = zones.get_mut(&zone) else { continue };
             let (bad, seen) =
--- a/tests/lists/large.rs
+++ b/tests/lists/large.rs
@@ -7,7 +7,7 @@
 const SERVERS: usize = 52_000;
 
 /// So many servers, which all listen where this backend does.
-fn servers(count: usize, backend: &Backend) -> Vec<String> {
+pub fn servers(count: usize, backend: &Backend) -> Vec<String> {
     (0..count)
         .map(|i| {
             let entry = entry(&format!("s-{i:08x}"), backend.address, "in_service");
@@ -64,7 +64,7 @@
 // ---- Measured -----------------------------------------------------------------------------------
 
 /// Processor time in seconds, and memory in MB, now and at its peak.
-fn cost(node: &Node) -> (f64, f64, f64) {
+pub fn cost(node: &Node) -> (f64, f64, f64) {
     let stat = node.system_file("stat");
     let fields: Vec<_> = stat.rsplit(") ").next().expect("fields").split(' ').collect();
     let ticks = |at: usize| fields[at].parse::<f64>().expect("a number");
@@ -77,7 +77,7 @@
 }
 
 /// How long requests take, in ms, while `meanwhile` goes on; eight clients with 100 a second in all.
-fn waits(node: &Node, meanwhile: impl FnOnce()) -> Vec<f64> {
+pub fn waits(node: &Node, meanwhile: impl FnOnce()) -> Vec<f64> {
     let over = AtomicBool::new(false);
     let mut waits = scope(|threads| {
         let clients: Vec<_> = (0..8)
@@ -104,7 +104,7 @@
     waits
 }
 
-fn told_of(what: &str, waits: &[f64]) {
+pub fn told_of(what: &str, waits: &[f64]) {
     let at = |part: f64| waits[((waits.len() - 1) as f64 * part) as usize];
     println!(
         "  {what}: {} requests, ms at 50 %: {:.2}, 99 %: {:.2}, most: {:.2}",
--- a/tests/lists/mod.rs
+++ b/tests/lists/mod.rs
@@ -1,7 +1,7 @@
 //! The list of backends as discovery tells it, late, by halves, in strange forms or not at all: whom the node sends to.
 //! How long it waits for what is in the node's own tests, on a clock that they move.
 
-mod large;
+pub mod large;
 
 use crate::sockets::*;
 use rustix::net::{AddressFamily, SocketType, bind, listen, socket};
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -8,6 +8,7 @@
 mod restarts;
 mod sockets;
 mod spoilt;
+mod subset_node;
 mod zonal;
 
 use sockets::*;
--- /dev/null
+++ b/tests/subset_node/costs.rs
@@ -0,0 +1,100 @@
+//! What a node costs at the size that is coming: 52,000 servers, 110,000 tenants and 22,000 routes together.
+
+use crate::lists::large::{cost, servers, told_of, waits};
+use crate::sockets::*;
+use std::fmt::Write;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const SERVERS: usize = 52_000;
+const TENANTS: usize = 110_000;
+const ROUTES: usize = 22_000;
+/// The servers of a zone, which go at once.
+const IN_A_ZONE: usize = 5_778;
+
+/// Settings with so many routes and tenants beside those that the clients use.
+fn large_settings(routes: usize, tenants: usize) -> String {
+    let (mut classes, mut projects) = (String::new(), String::new());
+    for route in 0..routes {
+        let _ = write!(
+            classes,
+            r#"{{"Name":"route-{route}","Target":200,"GiveUp":1000,"Idempotency":"free","Group":"all","Window":0}},"#
+        );
+    }
+    for tenant in 0..tenants {
+        let _ = write!(projects, r#"{{"Name":"tenant-{tenant}","AllowancePerS":10,"Share":0.000009}},"#);
+    }
+    let small = settings(20_000, "").replacen('{', r#"{"NInstances":4900,"Ordinal":2450,"#, 1);
+    let large = small.replacen(r#""Classes":["#, &format!(r#""Classes":[{classes}"#), 1);
+    large.replacen(r#""Projects":["#, &format!(r#""Projects":[{projects}"#), 1)
+}
+
+/// Not a test: what a node costs with all of the list, and with a subset of it. `COSTS` names other sizes, as
+/// `servers/tenants/routes`.
+/// `cargo test --release --test node what_a_subset_costs -- --ignored --nocapture`
+#[test]
+#[ignore = "a measurement"]
+fn what_a_subset_costs() {
+    let sizes = std::env::var("COSTS").unwrap_or(format!("0/1/2 {SERVERS}/{TENANTS}/{ROUTES}"));
+    for size in sizes.split(' ') {
+        let size: Vec<usize> = size.split('/').map(|count| count.parse().expect("a count")).collect();
+        for subset in [None, Some(256)] {
+            measure((size[0], size[1], size[2]), subset);
+        }
+    }
+}
+
+fn measure((count, tenants, routes): (usize, usize, usize), subset: Option<usize>) {
+    let backend = Backend::start(|_| ok("served"));
+    let discovery = Discovery::start();
+    let all = servers(count, &backend);
+    let config = with_ops(&config(discovery.address, &large_settings(routes, tenants), 1024));
+    let config = match subset {
+        Some(servers) => config.replacen('{', &format!(r#"{{"subset":{{"servers":{servers}}},"#), 1),
+        None => config,
+    };
+    let begun = Instant::now();
+    let node = Node::start(&config, "");
+    let listens = begun.elapsed().as_secs_f64();
+    let mut watch = discovery.call();
+    watch.open();
+    watch.line(&list(8, true, &all));
+    until(|| node.is_ready(), "readiness");
+    let (ready, processor) = (begun.elapsed().as_secs_f64(), cost(&node).0);
+    sleep(Duration::from_secs(2));
+    let (_, steady, peak) = cost(&node);
+    println!(
+        "{count} servers, {tenants} tenants, {routes} routes, subset {subset:?}: listens after {listens:.3} s, ready after \
+         {ready:.3} s, processor {processor:.2} s, memory {steady:.1} MB, peak {peak:.1} MB"
+    );
+    if count == 0 {
+        return;
+    }
+    told_of("with nothing new", &waits(&node, || sleep(Duration::from_secs(4))));
+    let rounds = 20;
+    let mut version = 9;
+    let before = cost(&node).0;
+    let mut tell = |entries: &[String], whole: bool| {
+        watch.line(&list(version, whole, entries));
+        version += 1;
+    };
+    told_of("with whole lists without a pause", &waits(&node, || (0..rounds).for_each(|_| tell(&all, true))));
+    println!("  processor {:.3} s for a list", (cost(&node).0 - before) / f64::from(rounds));
+    let apart = waits(&node, || {
+        for _ in 0..8 {
+            tell(&all, true);
+            sleep(Duration::from_millis(500));
+        }
+    });
+    told_of("with a whole list each half a second", &apart);
+    let zone: Vec<_> = all.iter().take(IN_A_ZONE).map(|it| it.replace("in_service", "terminated")).collect();
+    let before = cost(&node).0;
+    let gone = waits(&node, || {
+        tell(&zone, false);
+        sleep(Duration::from_secs(2));
+    });
+    told_of("with a zone that goes", &gone);
+    println!("  processor {:.3} s for it and 2 s of requests", cost(&node).0 - before);
+    let (_, steady, peak) = cost(&node);
+    println!("  after that: memory {steady:.1} MB, peak {peak:.1} MB");
+}
