--- a/crates/lab/src/capacity/runs.rs
+++ b/crates/lab/src/capacity/runs.rs
@@ -222,13 +222,24 @@
 pub(super) fn listed(runs: &Runs) -> Table {
     let mut table = Table::new(
         "runs",
-        &["run", "version", "cores", "memory", "load at its start", "points", "fits", "proven"],
+        &[
+            "run",
+            "version",
+            "servers held",
+            "cores",
+            "memory",
+            "load at its start",
+            "points",
+            "fits",
+            "proven",
+        ],
     );
     for run in &runs.all {
         let proven = run.fits.iter().filter(|fit| fit.proven).count();
         table.row([
             name(run),
             run.version.clone(),
+            run.subset.map_or("all".to_owned(), |servers| servers.to_string()),
             run.machine.cores.to_string(),
             format!("{} MB", number(run.machine.memory_mb as f64)),
             number(run.machine.load_1m),
--- a/crates/lab/src/scale/results.rs
+++ b/crates/lab/src/scale/results.rs
@@ -14,6 +14,9 @@
     pub version: String,
     /// The seed of the plan.
     pub seed: u64,
+    /// How many servers of the list a node holds, if not all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub subset: Option<u32>,
     /// Where it ran.
     pub machine: Machine,
     /// One for each size, in the order measured.
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -76,6 +76,7 @@
         experiment: scale.name.clone(),
         version: record.version.clone(),
         seed,
+        subset: scale.subset,
         machine,
         points: Vec::new(),
         fits: Vec::new(),
