--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
+use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,10 +31,24 @@
     Tier(Tier),
     /// The staff ask how the zones stand, after an order if there is one.
     Zones(Option<Evacuation>, oneshot::Sender<Option<Vec<ZoneTold>>>),
+    /// The staff ask how much of the list the node holds.
+    Subset(oneshot::Sender<Option<SubsetTold>>),
     /// The process is told to stop, and what has not come whole by now is not taken any more.
     LastByte,
 }
 
+/// How much of the list a node holds, where it does not hold all of it.
+#[derive(Serialize)]
+pub struct SubsetTold {
+    /// Ready servers on the list.
+    pub ready: usize,
+    /// Servers that are held, those that drain among them.
+    pub held: usize,
+    /// By which place among how many nodes.
+    pub node: usize,
+    pub nodes: usize,
+}
+
 /// The staff want a zone of this name empty for so long, or not any more.
 pub struct Evacuation {
     pub zone: String,
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -3,7 +3,8 @@
 
 use crate::backend::Pool;
 use crate::messages::{
-    Answer, Attempt, Ended, Evacuation, Forward, Message, ProbeEnded, Started, Stop, Taken, ZoneTold,
+    Answer, Attempt, Ended, Evacuation, Forward, Message, ProbeEnded, Started, Stop, SubsetTold, Taken,
+    ZoneTold,
 };
 use hillpick::control::clock::Clock;
 use hillpick::control::config::Config;
@@ -153,6 +154,9 @@
                 let told = self.zones(order);
                 let _ = reply.send(told); // who asked may have gone
             }
+            Message::Subset(reply) => {
+                let _ = reply.send(self.subset()); // who asked may have gone
+            }
             Message::LastByte => {
                 let arriving = self.held.iter().filter(|(_, held)| held.forward.body.is_cut());
                 let out = arriving.flat_map(|(id, held)| (0..held.attempts.len()).map(|i| (*id, i as u32)));
@@ -320,6 +324,13 @@
         None
     }
 
+    /// How much of the list is held; `None` where all of it is.
+    fn subset(&self) -> Option<SubsetTold> {
+        let (roster, layout) = (self.roster.as_ref()?, self.balancer.ring_layout());
+        let RingLayout { node, nodes, .. } = layout;
+        Some(SubsetTold { ready: roster.ready(), held: roster.held(), node, nodes })
+    }
+
     /// How the zones stand, after an order of the staff's; `None` where the node does not go by zones.
     fn zones(&mut self, order: Option<Evacuation>) -> Option<Vec<ZoneTold>> {
         self.site.settings.zones.as_ref()?;
--- a/src/bin/sillward/ops.rs
+++ b/src/bin/sillward/ops.rs
@@ -52,6 +52,7 @@
     Status,
     Members,
     Zones,
+    Subset,
     Evacuate(&'a str),
     Restore(&'a str),
     Enter(State),
@@ -63,6 +64,7 @@
             "/status" => Call::Status,
             "/members" => Call::Members,
             "/zones" => Call::Zones,
+            "/subset" => Call::Subset,
             "/standby" => Call::Enter(State::Standby),
             "/active" => Call::Enter(State::Active),
             _ => match path.strip_prefix("/zones/")?.split_once('/')? {
@@ -75,7 +77,7 @@
 
     fn method(&self) -> Method {
         match self {
-            Call::Status | Call::Members | Call::Zones => Method::GET,
+            Call::Status | Call::Members | Call::Zones | Call::Subset => Method::GET,
             Call::Evacuate(_) | Call::Restore(_) | Call::Enter(_) => Method::POST,
         }
     }
@@ -141,6 +143,7 @@
             Call::Status => self.status(),
             Call::Members => self.members(),
             Call::Zones => self.zones(None).await,
+            Call::Subset => self.subset().await,
             Call::Evacuate(zone) => match self.lasting(head.uri.query()) {
                 Ok(lasts) => self.zones(Some((zone, Some(lasts)))).await,
                 Err(what) => told(StatusCode::BAD_REQUEST, what),
@@ -159,6 +162,18 @@
         seconds.map(Duration::from_secs).ok_or("expected for_s=SECONDS, 1 to 86400")
     }
 
+    /// How much of the list the node holds.
+    async fn subset(&self) -> Response<Full<Bytes>> {
+        let (reply, answer) = oneshot::channel();
+        if self.messages.send(Message::Subset(reply)).await.is_err() {
+            return told(StatusCode::SERVICE_UNAVAILABLE, "terminating");
+        }
+        match answer.await.ok().flatten() {
+            Some(subset) => json(&json!(subset)),
+            None => told(StatusCode::NOT_FOUND, "no subset is configured: the node holds the whole list"),
+        }
+    }
+
     /// How the zones stand, after an order if there is one.
     async fn zones(&self, order: Option<(&str, Option<Duration>)>) -> Response<Full<Bytes>> {
         let (reply, answer) = oneshot::channel();
--- a/tests/subset_node/mod.rs
+++ b/tests/subset_node/mod.rs
@@ -90,6 +90,23 @@
     until(|| used.contains(&served_by(&mut node.client())), "the servers that are back");
 }
 
+#[test]
+fn the_staff_see_how_much_of_the_list_is_held() {
+    let backends = Backends::start();
+    let (node, mut watch, _discovery) = start(&backends, 10, 3);
+    let told = |node: &Node| {
+        let answer = Client::connect(node.ops()).ask("GET /subset", "", b"");
+        (answer.status(), String::from_utf8(answer.body).expect("text"))
+    };
+    let expected = format!(r#"{{"held":{HELD},"node":3,"nodes":10,"ready":{LISTED}}}"#);
+    assert_eq!(told(&node), (200, format!("{expected}\n")));
+    assert_eq!(node.call("POST /subset"), 405);
+    watch.line(&list(9, true, &backends.entries(0..20, "in_service")));
+    until(|| told(&node).1.contains(r#""held":20,"node":3,"nodes":10,"ready":20"#), "a short list");
+    let (whole, _watch, _discovery) = serving(&settings(LONG, ""), &[&backends.0[0]]);
+    assert_eq!(told(&whole).0, 404);
+}
+
 #[test]
 fn most_servers_vanish_at_once_and_the_rest_carry_on() {
     let backends = Backends::start();
