Rename what the node knows of connections to the field's terms

Line, Habit, Standing, Watched and Presence did not say what they are. They are BackendStream, Quarantine, ExchangeState, ClientStream and Liveness now, with their files; no behaviour changes.

--- a/crates/lab/src/capacity/roles/control.rs
+++ b/crates/lab/src/capacity/roles/control.rs
@@ -240,22 +240,22 @@
 pub const ROLES: &[Role] = &[
     Role {
         name: "a node in all",
-        mechanism: "`src/control/`, `src/state.rs`; a subset of the list: none yet",
+        mechanism: "`src/control/`, `src/state.rs`, `src/control/roster/`",
         lines: WHOLE,
     },
     Role {
         name: "discovery client",
-        mechanism: "`src/control/discovery/`; a list by subset, or resumed from a saved one: none yet",
+        mechanism: "`src/control/discovery/`; resumed from a saved list: none yet",
         lines: DISCOVERY,
     },
     Role {
         name: "server table",
-        mechanism: "`src/state.rs`, all listed servers; a subset: none yet",
+        mechanism: "`src/policy/subset.rs`, `src/control/roster/`, `src/state.rs`",
         lines: SERVER_TABLE,
     },
     Role {
         name: "selection state",
-        mechanism: "`src/policy/pick.rs` compares 64 at most; `src/state.rs` holds the ring of all",
+        mechanism: "`src/policy/pick.rs` compares 64 at most; `src/state.rs` holds the ring of those held",
         lines: SELECTION,
     },
     Role {
--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -1,8 +1,8 @@
 //! The backends' side: attempts, the pool of connections, probes.
 
+use crate::backend_stream::{BackendStream, ExchangeState, Quarantine};
 use crate::body::{KEPT, Outgoing, Piece, STALLED};
 use crate::handover::Pair;
-use crate::line::{Habit, Line, Standing};
 use crate::messages::{Attempt, Ended, Message, Started, Stop};
 use bytes::{Bytes, BytesMut};
 use hillpick::control::clock::Clock;
@@ -49,7 +49,7 @@
     /// Which run of the backend, at which address, it leads to.
     epoch: u64,
     sender: SendRequest<Outgoing>,
-    standing: Rc<Standing>,
+    exchange: Rc<ExchangeState>,
     task: AbortHandle,
     open: Rc<Cell<usize>>,
 }
@@ -76,7 +76,7 @@
     /// Idle connections, each with when it fell idle; the last used comes last.
     idle: Vec<(Connection, Duration)>,
     /// What all connections to it know of it.
-    habit: Option<Rc<Habit>>,
+    quarantine: Option<Rc<Quarantine>>,
     /// How long attempts have waited for connections to rest since one dialled instead.
     rested: Duration,
     /// Attempts that wait for a connection, and dials under way: never fewer dials than waiting attempts.
@@ -89,7 +89,7 @@
 impl Place {
     fn drop_idle(&mut self) {
         self.epoch += 1;
-        self.habit = None;
+        self.quarantine = None;
         self.unreachable = None;
         self.idle.clear();
     }
@@ -102,7 +102,7 @@
 
     /// The most recently used idle connection that has rested, with since when it is idle.
     fn rested(&mut self) -> Option<(Connection, Duration)> {
-        let place = self.idle.iter().rposition(|(connection, _)| connection.standing.rests().is_zero())?;
+        let place = self.idle.iter().rposition(|(connection, _)| connection.exchange.rests().is_zero())?;
         Some(self.idle.remove(place))
     }
 }
@@ -238,7 +238,7 @@
             return Ok(Found::Free(connection));
         }
         let full = self.open.get() >= self.pair.share(self.most_open);
-        if let Some(rest) = place.idle.first().map(|(connection, _)| connection.standing.rests()) {
+        if let Some(rest) = place.idle.first().map(|(connection, _)| connection.exchange.rests()) {
             if full || place.rested + rest <= WORTH_A_DIAL {
                 place.rested += rest;
                 let (connection, since) = place.idle.remove(0);
@@ -263,10 +263,10 @@
             places = self.places.borrow_mut();
             let place = places.get_mut(&server).ok_or(Outcome::NotSent)?;
             place.dialling += 1;
-            let habit = place.habit.get_or_insert_with(|| Habit::new(server)).clone();
+            let quarantine = place.quarantine.get_or_insert_with(|| Quarantine::new(server)).clone();
             let pool = self.clone();
             spawn_local(async move {
-                let dialled = pool.dial(server, address, epoch, habit).await;
+                let dialled = pool.dial(server, address, epoch, quarantine).await;
                 pool.dialled(server, dialled);
             });
         }
@@ -288,14 +288,14 @@
         server: ServerId,
         address: SocketAddr,
         epoch: u64,
-        habit: Rc<Habit>,
+        quarantine: Rc<Quarantine>,
     ) -> Delivery {
-        let standing = Standing::new(habit);
+        let exchange = ExchangeState::new(quarantine);
         let connected =
             timeout(self.current.get().settings.limits.connect_timeout, tcp::connect(address)).await;
         let opened = match connected {
             Ok(Ok(stream)) => {
-                let stream = TokioIo::new(Line::new(stream, standing.clone()));
+                let stream = TokioIo::new(BackendStream::new(stream, exchange.clone()));
                 let opened = http1::Builder::new().max_buf_size(READ_BUFFER).handshake(stream);
                 opened.await.map_err(|_| Outcome::ConnectFailed)
             }
@@ -318,7 +318,7 @@
             let _ = connection.await; // its end shows in the request on it
         });
         let (task, open) = (task.abort_handle(), self.open.clone());
-        Ok(Connection { server, epoch, sender, standing, task, open })
+        Ok(Connection { server, epoch, sender, exchange, task, open })
     }
 
     fn dialled(self: &Rc<Self>, server: ServerId, dialled: Delivery) {
@@ -348,8 +348,8 @@
     /// Gives a free connection to whoever has waited longest, once it has rested, or keeps it: a dial that came too
     /// late serves the next request.
     fn put(self: &Rc<Self>, connection: Connection) {
-        connection.standing.fall_idle();
-        let (server, rest) = (connection.server, connection.standing.rests());
+        connection.exchange.fall_idle();
+        let (server, rest) = (connection.server, connection.exchange.rests());
         let since = self.clock.now();
         if !self.keep(connection, since) {
             return;
@@ -461,7 +461,7 @@
                 return (Outcome::NotSent, None, None);
             };
             stage.set(Stage::Written);
-            connection.standing.ask();
+            connection.exchange.ask();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return self.served(attempt, connection, response, (stage, messages)).await,
                 // Given back: not a byte of it was written, so another connection may have it.
@@ -471,7 +471,7 @@
                         stage.set(Stage::Unwritten);
                     }
                     // What stood in the way was seen before its first byte.
-                    None if connection.standing.is_unwritten() => {
+                    None if connection.exchange.is_unwritten() => {
                         stage.set(Stage::Unwritten);
                         if attempt.forward.body.is_spent() {
                             return (Outcome::NotSent, None, None);
@@ -637,7 +637,7 @@
         let address = self.places.borrow().get(&server).and_then(|place| place.address);
         let Some(address) = address else { return (Outcome::NotSent, None) };
         request.headers_mut().insert(HOST, host(address));
-        connection.standing.ask();
+        connection.exchange.ask();
         let Ok(response) = connection.sender.send_request(request).await else {
             return (Outcome::Reset, None);
         };
@@ -730,7 +730,7 @@
     /// Nothing, if it has ended meanwhile or its backend has been seen to answer later yet.
     fn take(mut self) -> Option<Connection> {
         let rested = |(connection, _): &(Connection, Duration)| {
-            !connection.sender.is_closed() && connection.standing.rests().is_zero()
+            !connection.sender.is_closed() && connection.exchange.rests().is_zero()
         };
         if self.kept.as_ref().is_some_and(rested) {
             self.kept.take().map(|(connection, _)| connection)
--- a/src/bin/sillward/backend/tests.rs
+++ b/src/bin/sillward/backend/tests.rs
@@ -1,7 +1,7 @@
 //! The pool by itself, on a runtime that the test drives, before a listener that plays the backend.
 
 use super::*;
-use crate::line::REST;
+use crate::backend_stream::REST;
 use crate::messages::{Content, Forward};
 use hillpick::RequestId;
 use hillpick::ServerEntry;
@@ -223,8 +223,8 @@
 
 /// Its backend has been seen to write out of turn, so that its connections rest.
 fn mark(pool: &Pool) {
-    let habit = pool.places.borrow()[&SERVER].habit.clone();
-    habit.expect("it was dialled").stray(Duration::ZERO);
+    let quarantine = pool.places.borrow()[&SERVER].quarantine.clone();
+    quarantine.expect("it was dialled").stray(Duration::ZERO);
 }
 
 /// A backend that answers each request with its id, after so long. Its first answer is followed by something else,
@@ -318,8 +318,8 @@
         let connections = plays(listener, MS, Some((60 * MS, answer("1"))));
         assert_eq!(served(&pool, "1").await, right("1"));
         tokio::time::sleep(100 * MS).await;
-        let habit = pool.places.borrow()[&SERVER].habit.clone().expect("it was dialled");
-        assert!((120 * MS..130 * MS).contains(&habit.rest()), "{:?}", habit.rest());
+        let quarantine = pool.places.borrow()[&SERVER].quarantine.clone().expect("it was dialled");
+        assert!((120 * MS..130 * MS).contains(&quarantine.rest()), "{:?}", quarantine.rest());
         assert_eq!(served(&pool, "2").await, right("2"));
         assert_eq!(served(&pool, "3").await, right("3"));
         assert_eq!(connections.get(), 3, "the second one rests for longer than a dial is worth");
--- a/src/bin/sillward/line.rs
+++ b/src/bin/sillward/backend_stream.rs
@@ -19,22 +19,22 @@
 use tokio::time::Instant;
 
 /// Connections of a backend that has written out of turn rest at least so long. A second answer comes some milliseconds
-/// after the first (the operators' standing page); 20 ms is taken for that, and a quarter more for paths that don't take
+/// after the first (the operators' exchange page); 20 ms is taken for that, and a quarter more for paths that don't take
 /// the same time twice.
 pub const REST: Duration = Duration::from_millis(25);
 /// No connection rests longer: whatever comes later than half of this is not told from one that is closed for idleness.
 pub const LONGEST_REST: Duration = Duration::from_secs(1);
 
 /// What is known of one backend's connections; all of them share it.
-pub struct Habit {
+pub struct Quarantine {
     server: ServerId,
     /// Nothing until it has written what nobody had asked for.
     rest: Cell<Duration>,
 }
 
-impl Habit {
+impl Quarantine {
     pub fn new(server: ServerId) -> Rc<Self> {
-        Rc::new(Habit { server, rest: Cell::new(Duration::ZERO) })
+        Rc::new(Quarantine { server, rest: Cell::new(Duration::ZERO) })
     }
 
     /// How long a connection rests after an answer.
@@ -53,8 +53,8 @@
 }
 
 /// Where a connection stands, for its stream and for the pool.
-pub struct Standing {
-    pub habit: Rc<Habit>,
+pub struct ExchangeState {
+    pub quarantine: Rc<Quarantine>,
     /// A request is to be written, or an answer is due.
     asked: Cell<bool>,
     /// Not a byte of that request has been written.
@@ -63,10 +63,10 @@
     answered: Cell<Option<Instant>>,
 }
 
-impl Standing {
-    pub fn new(habit: Rc<Habit>) -> Rc<Self> {
-        Rc::new(Standing {
-            habit,
+impl ExchangeState {
+    pub fn new(quarantine: Rc<Quarantine>) -> Rc<Self> {
+        Rc::new(ExchangeState {
+            quarantine,
             asked: Cell::new(false),
             unwritten: Cell::new(true),
             answered: Cell::new(None),
@@ -92,7 +92,7 @@
 
     /// How long it has yet to rest.
     pub fn rests(&self) -> Duration {
-        self.answered.get().map_or(Duration::ZERO, |at| self.habit.rest().saturating_sub(at.elapsed()))
+        self.answered.get().map_or(Duration::ZERO, |at| self.quarantine.rest().saturating_sub(at.elapsed()))
     }
 
     /// Whether bytes that come now are nobody's answer.
@@ -101,32 +101,32 @@
     }
 
     fn stray(&self) {
-        self.habit.stray(self.answered.get().map(|at| at.elapsed()).unwrap_or_default());
+        self.quarantine.stray(self.answered.get().map(|at| at.elapsed()).unwrap_or_default());
     }
 }
 
-pub struct Line {
+pub struct BackendStream {
     stream: TcpStream,
-    standing: Rc<Standing>,
+    exchange: Rc<ExchangeState>,
 }
 
-impl Line {
-    pub fn new(stream: TcpStream, standing: Rc<Standing>) -> Self {
-        Line { stream, standing }
+impl BackendStream {
+    pub fn new(stream: TcpStream, exchange: Rc<ExchangeState>) -> Self {
+        BackendStream { stream, exchange }
     }
 
     /// Before the first byte of a request: what has come may not have been noticed yet, since the runtime asks the kernel
     /// only now and then. So it is asked here, at once. On a new connection as well: what a backend writes there before it
     /// was asked anything would be read as the head of the first answer.
     fn look(&self) -> io::Result<()> {
-        if !self.standing.unwritten.get() {
+        if !self.exchange.unwritten.get() {
             return Ok(());
         }
         match recv(&self.stream, &mut [0; 64][..], RecvFlags::empty()) {
             Err(Errno::AGAIN) => Ok(()),
             Ok((0, _)) => Err(io::ErrorKind::ConnectionAborted.into()),
             Ok(_) => {
-                self.standing.stray();
+                self.exchange.stray();
                 Err(io::ErrorKind::InvalidData.into())
             }
             Err(e) => Err(e.into()),
@@ -135,13 +135,13 @@
 
     fn written(&self, written: usize) -> Poll<io::Result<usize>> {
         if written > 0 {
-            self.standing.unwritten.set(false);
+            self.exchange.unwritten.set(false);
         }
         Poll::Ready(Ok(written))
     }
 }
 
-impl AsyncRead for Line {
+impl AsyncRead for BackendStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -149,14 +149,14 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        if buffer.filled().len() > before && self.standing.is_free() {
-            self.standing.stray();
+        if buffer.filled().len() > before && self.exchange.is_free() {
+            self.exchange.stray();
         }
         Poll::Ready(Ok(()))
     }
 }
 
-impl AsyncWrite for Line {
+impl AsyncWrite for BackendStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         self.look()?;
         let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
--- a/src/bin/sillward/client.rs
+++ b/src/bin/sillward/client.rs
@@ -1,7 +1,7 @@
 //! A client's connection as it stands: when bytes moved on it, and whether it holds a request.
 
 use crate::body::{SILENCE, STALLED};
-use crate::presence::Presence;
+use crate::liveness::Liveness;
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -27,7 +27,7 @@
     /// It is to make room, and has been told so.
     pub shed: Cell<bool>,
     pub close: Notify,
-    pub presence: Presence,
+    pub liveness: Liveness,
 }
 
 /// What is to be done about a connection that sends nothing.
@@ -52,7 +52,7 @@
 }
 
 impl Client {
-    pub fn new(presence: Presence) -> Self {
+    pub fn new(liveness: Liveness) -> Self {
         let now = Instant::now();
         Client {
             connected: now,
@@ -63,7 +63,7 @@
             moved: Cell::new(now),
             shed: Cell::new(false),
             close: Notify::new(),
-            presence,
+            liveness,
         }
     }
 
--- a/src/bin/sillward/watched.rs
+++ b/src/bin/sillward/client_stream.rs
@@ -9,14 +9,14 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-pub struct Watched {
+pub struct ClientStream {
     stream: Rc<RefCell<TcpStream>>,
     client: Rc<Client>,
 }
 
-impl Watched {
+impl ClientStream {
     pub fn new(stream: Rc<RefCell<TcpStream>>, client: Rc<Client>) -> Self {
-        Watched { stream, client }
+        ClientStream { stream, client }
     }
 
     fn written(&self, written: usize) -> Poll<io::Result<usize>> {
@@ -25,7 +25,7 @@
     }
 }
 
-impl AsyncRead for Watched {
+impl AsyncRead for ClientStream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -40,7 +40,7 @@
     }
 }
 
-impl AsyncWrite for Watched {
+impl AsyncWrite for ClientStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let written = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes))?;
         self.written(written)
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -2,11 +2,11 @@
 
 use crate::body::{Download, KEPT, LONGEST, Patience, STALLED, Upload};
 use crate::client::{Client, Lapse, Leaves, READ_TIMEOUT};
+use crate::client_stream::ClientStream;
 use crate::handover::Pair;
 use crate::lifecycle::{ACCEPT_ON, LAST_WORDS, Lifecycle, Phase, State};
+use crate::liveness::{Liveness, Peer, ask};
 use crate::messages::{Answer, Content, Forward, Message, Requester, Taken};
-use crate::presence::{Peer, Presence, ask};
-use crate::watched::Watched;
 use bytes::{Bytes, BytesMut};
 use hillpick::control::clock::Clock;
 use hillpick::control::config::{Config, Current};
@@ -267,7 +267,7 @@
 
     fn serve(self: &Rc<Self>, stream: TcpStream) {
         let stream = Rc::new(RefCell::new(tcp::undelayed(stream)));
-        let client = Rc::new(Client::new(Presence::of(&stream)));
+        let client = Rc::new(Client::new(Liveness::of(&stream)));
         let number = self.next();
         self.clients.borrow_mut().insert(number, client.clone());
         let front = self.clone();
@@ -285,7 +285,7 @@
     /// has had its time.
     async fn converse(self: Rc<Self>, stream: &Rc<RefCell<TcpStream>>, client: &Rc<Client>) -> bool {
         let service = service_fn(|request| self.clone().respond(client.clone(), request));
-        let stream = TokioIo::new(Watched::new(stream.clone(), client.clone()));
+        let stream = TokioIo::new(ClientStream::new(stream.clone(), client.clone()));
         let mut server = http1::Builder::new();
         let connection = server.max_buf_size(READ_BUFFER).serve_connection(stream, service);
         let mut connection = std::pin::pin!(connection);
@@ -365,9 +365,9 @@
         client.passing.set(false);
         let first = !client.asked.replace(true);
         let since = if first { client.connected } else { Instant::now() };
-        let presence = client.presence.clone();
+        let liveness = client.liveness.clone();
         let mut busy = Some(Busy(client, self.clone()));
-        let handled = self.handle(request, Patience::until(since + READ_TIMEOUT), presence).await;
+        let handled = self.handle(request, Patience::until(since + READ_TIMEOUT), liveness).await;
         let mut response = match handled {
             Ok(response) => response.ok_or(Left)?,
             Err((status, text)) => plain(status, Bytes::from_static(text.as_bytes())),
@@ -389,7 +389,7 @@
         &self,
         request: Request<Incoming>,
         mut patience: Patience,
-        presence: Presence,
+        liveness: Liveness,
     ) -> Result<Option<Reply>, Bad> {
         let (head, body) = request.into_parts();
         // The settings may change while the body comes: it is under those that held when it began.
@@ -442,7 +442,7 @@
             let tenant = site.tenant_names.get(new.tenant);
             new.tenant = tenant.map_or(0, |name| present.tenant_names.position(name).unwrap_or(usize::MAX));
         }
-        let client = Rc::new(Requester::new(new.id, presence, left));
+        let client = Rc::new(Requester::new(new.id, liveness, left));
         forward.client = client.clone();
         let gone = Gone(client);
         place.send(Message::Request(Box::new(Taken { new, at, forward, reply })));
--- a/src/bin/sillward/front/leaving.rs
+++ b/src/bin/sillward/front/leaving.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::backend::Pool;
-use crate::presence::tests::{Parts, part};
+use crate::liveness::tests::{Parts, part};
 use hillpick::control::updates::{Backend, ListUpdate};
 use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/src/bin/sillward/front/tests.rs
+++ b/src/bin/sillward/front/tests.rs
@@ -60,7 +60,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_later_head_has_its_time_from_its_first_byte_on() {
-    let client = Client::new(Presence::default());
+    let client = Client::new(Liveness::default());
     let pass = async |ms| tokio::time::advance(Duration::from_millis(ms)).await;
     let waits = |client: &Client| matches!(client.lapse(), Lapse::Later(then) if then > Instant::now());
     // The first one has it from the connection on.
--- a/src/bin/sillward/presence.rs
+++ b/src/bin/sillward/liveness.rs
@@ -11,11 +11,11 @@
 /// A client's connection as seen by what is done for it; it doesn't keep it open. By default that of nobody, who never
 /// leaves.
 #[derive(Clone, Default)]
-pub struct Presence(Option<Weak<RefCell<TcpStream>>>);
+pub struct Liveness(Option<Weak<RefCell<TcpStream>>>);
 
-impl Presence {
+impl Liveness {
     pub fn of(stream: &Rc<RefCell<TcpStream>>) -> Self {
-        Presence(Some(Rc::downgrade(stream)))
+        Liveness(Some(Rc::downgrade(stream)))
     }
 
     /// It has closed its connection or ended its sending, or the connection is broken: HTTP has no word for a client that
--- a/src/bin/sillward/presence/tests.rs
+++ b/src/bin/sillward/liveness/tests.rs
@@ -47,8 +47,8 @@
     for how in [Parts::Close, Parts::Reset, Parts::Half] {
         for (sends, reads) in [(0, 0), (5, 0), (5, 5), (5, 3)] {
             let (mut client, stream) = pair().await;
-            let presence = Presence::of(&stream);
-            assert!(!presence.has_left(), "{how:?} {sends} {reads}");
+            let liveness = Liveness::of(&stream);
+            assert!(!liveness.has_left(), "{how:?} {sends} {reads}");
             client.write_all(&b"bytes"[..sends]).await.expect("room for it");
             let mut read = vec![0; reads];
             let mut come = 0;
@@ -59,10 +59,10 @@
                     Err(_) => tokio::task::yield_now().await,
                 }
             }
-            assert!(!presence.has_left(), "{how:?} {sends} {reads}");
+            assert!(!liveness.has_left(), "{how:?} {sends} {reads}");
             let _half = part(client, how);
-            assert!(presence.has_left(), "{how:?} {sends} {reads}");
-            assert!(presence.has_left(), "asked again: {how:?} {sends} {reads}");
+            assert!(liveness.has_left(), "{how:?} {sends} {reads}");
+            assert!(liveness.has_left(), "asked again: {how:?} {sends} {reads}");
         }
     }
 }
@@ -71,11 +71,11 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_connection_that_the_node_has_closed_has_nobody_at_its_end() {
     let (mut client, stream) = pair().await;
-    let presence = Presence::of(&stream);
+    let liveness = Liveness::of(&stream);
     drop(stream);
-    assert!(presence.has_left());
+    assert!(liveness.has_left());
     assert_eq!(client.read(&mut [0; 1]).await.expect("an end"), 0);
-    assert!(!Presence::default().has_left());
+    assert!(!Liveness::default().has_left());
 }
 
 /// Every socket of the node: those that it opens, and those that it accepts.
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -3,17 +3,17 @@
 #![forbid(unsafe_code)]
 
 mod backend;
+mod backend_stream;
 mod body;
 mod client;
+mod client_stream;
 mod front;
 mod handover;
 mod lifecycle;
-mod line;
+mod liveness;
 mod messages;
 mod node;
 mod ops;
-mod presence;
-mod watched;
 
 use handover::{Pair, Sockets};
 use hillpick::control::clock::Clock;
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -1,7 +1,7 @@
 //! What the rooms of the node tell one another: types alone, below all that use them.
 
 use crate::body::{Outgoing, Piece, Upload};
-use crate::presence::Presence;
+use crate::liveness::Liveness;
 use bytes::Bytes;
 use hillpick::control::updates::ListUpdate;
 use hillpick::settings::Replacement;
@@ -135,19 +135,19 @@
 #[derive(Default)]
 pub struct Requester {
     id: RequestId,
-    presence: Presence,
+    liveness: Liveness,
     /// The place for that news in the node's queue, kept from the start.
     place: Cell<Option<mpsc::OwnedPermit<Message>>>,
 }
 
 impl Requester {
-    pub fn new(id: RequestId, presence: Presence, place: mpsc::OwnedPermit<Message>) -> Self {
-        Requester { id, presence, place: Cell::new(Some(place)) }
+    pub fn new(id: RequestId, liveness: Liveness, place: mpsc::OwnedPermit<Message>) -> Self {
+        Requester { id, liveness, place: Cell::new(Some(place)) }
     }
 
     /// Asks the kernel.
     pub fn has_left(&self) -> bool {
-        let left = self.presence.has_left();
+        let left = self.liveness.has_left();
         if left {
             self.leave();
         }
