--- a/crates/lab/src/capacity/runs.rs
+++ b/crates/lab/src/capacity/runs.rs
@@ -1,8 +1,8 @@
 //! The recorded scale runs, and what they foretell at full size.
 //!
-//! Sweeps change one dimension and leave the others as they are, so costs are taken to add: the value at full size is a fit's
-//! line there, and each other dimension's slope times what lies between its place in that sweep and its full size. A slope
-//! whose interval holds zero, or that falls, counts as none: costs don't shrink as a fleet grows.
+//! Sweeps change one dimension and leave the others as they are, so costs are taken to add: the value at full size is what is
+//! left of a sweep without any growth, and each dimension's slope times its full size. A slope whose interval holds zero, or
+//! that falls, counts as none, and what was measured at the end of such a sweep as left: costs don't shrink as a fleet grows.
 
 use super::size::Capacity;
 use super::table::{Table, number};
@@ -81,13 +81,16 @@
     /// What the fits foretell of a figure at full size; none if nobody fitted it.
     pub fn estimate(&self, role: &str, figure: &str, capacity: &Capacity) -> Option<Estimate> {
         let fits = self.fits(role, figure, capacity);
-        // The sweep that went farthest, as a part of full size, is the line that the others add to.
-        let reach = |(_, fit, full): &(&Results, &Fit, f64)| fit.largest / full;
-        let (first, line, _) = fits.iter().copied().max_by(|a, b| reach(a).total_cmp(&reach(b)))?;
         let grows = |fit: &Fit| fit.interval[0] > 0.0;
-        let at_rest = if grows(line) { line.intercept } else { line.measured.max(line.intercept) };
-        let elsewhere = fits.iter().filter(|(_, fit, _)| fit.against != line.against && grows(fit));
-        let rest = elsewhere.fold(at_rest, |rest, (_, fit, _)| rest - fit.slope * base(first, &fit.against));
+        // Each sweep tells what is left without all growth. They differ by noise, and by growth that was too little to be
+        // told from it: the greatest counts.
+        let rest_of = |(run, line, _): &(&Results, &Fit, f64)| {
+            let at_rest = if grows(line) { line.intercept } else { line.measured.max(line.intercept) };
+            let others = fits.iter().filter(|(_, fit, _)| fit.against != line.against && grows(fit));
+            others.fold(at_rest, |rest, (_, fit, _)| rest - fit.slope * base(run, &fit.against))
+        };
+        let rest = fits.iter().map(rest_of).reduce(f64::max)?;
+        let rest = rest.max(0.0); // a line may cross zero, and a cost does not
         let terms: Vec<_> =
             fits.iter().filter(|(_, fit, _)| grows(fit)).map(|(_, fit, full)| term(fit, *full)).collect();
         let mut runs: Vec<_> = fits.iter().map(|(run, ..)| name(run)).collect();
