--- a/src/policy/subset.rs
+++ b/src/policy/subset.rs
@@ -1,10 +1,10 @@
-//! The subset: which part of each ring of ready servers a node holds, where the list is too long for all of it.
+//! The subset: which part of each ring of ready servers a node holds, where the list is too long for all.
 //!
-//! Parts are stretches of the ring that begin evenly spaced, so that each server is in as many parts as any
-//! other, but for one. When a server comes or goes, a part moves by one server at most at either end. A choice
-//! looks at fewer servers than a part has, in the same order as if the node held all: a subset changes no
-//! decision (`tests/subset.rs`). Where a request may be sent again only within a cell, the cells of the part's
-//! servers are held whole, for these requests alone.
+//! Parts are stretches of the ring that begin evenly spaced, so that each server is in as many parts as
+//! any other, but for one. When a server comes or goes, a part moves by one server at most at either end.
+//! A choice looks at fewer servers than a part has, in the same order as if the node held all: a subset
+//! changes no decision (`tests/subset.rs`). Where a request may be sent again only within a cell, the cells
+//! of the part's servers are held whole, for these requests alone.
 
 use super::figures::LEVELS;
 use crate::interface::RingLayout;
@@ -12,8 +12,8 @@
 
 /// The least that a part may be: judging a server looks at twice as many as are compared at the most.
 pub const LEAST_SUBSET: usize = 2 * LEVELS;
-/// One server more in so many is held before the first in use: that moves to and fro by one as servers come and
-/// go, and what is known of a server is forgotten when it leaves.
+/// One server more in so many is held before the first in use: that moves to and fro by one as servers
+/// come and go, and what is known of a server is forgotten when it leaves.
 const BEFORE: usize = 8;
 
 /// Servers in a row on a ring, by rank; past the last one it goes on with the first.
