--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -5,7 +5,7 @@
 use hillpick_lab::capacity::{
     Count, Markers, Table, count, differences, filled, number, tables, without_tables,
 };
-use hillpick_lab::scale::results::Results;
+use hillpick_lab::scale::results::{Fit, Results};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 
@@ -105,6 +105,39 @@
     assert_eq!(it.arithmetic(), "1,000 + 80 x 52,000 servers + 5 x 110,000 tenants");
 }
 
+/// The fit of the server table's state in the made-up run over servers.
+fn of_the_server_table(run: &mut Results) -> &mut Fit {
+    let found = run.fits.iter_mut().find(|fit| fit.figure == "state of the server table");
+    found.expect("a fit")
+}
+
+/// A sweep that went farther in another dimension says nothing of servers, also where growth by these is not proven.
+#[test]
+fn what_one_sweep_measured_is_not_lost_to_one_that_went_farther() {
+    let mut servers: Results = serde_json::from_str(include_str!("capacity/servers-1.json")).unwrap();
+    let mut changes = servers.clone();
+    changes.experiment = "changes".into();
+    let fit = of_the_server_table(&mut changes);
+    fit.against = "changes_per_s".into();
+    (fit.slope, fit.interval, fit.largest) = (0.0, [0.0, 0.0], 64.0);
+    (fit.intercept, fit.foretold, fit.measured) = (9_000.0, 9_000.0, 9_000.0);
+    let fit = of_the_server_table(&mut servers);
+    fit.interval[0] = -1.0;
+    let measured = fit.measured.max(fit.intercept);
+    assert!(measured > 9_000.0);
+    let it = Runs::of(vec![servers, changes]).estimate("hollow node", "state of the server table", &size());
+    assert_eq!(it.unwrap().value, measured);
+}
+
+/// A line may cross zero, and a cost does not.
+#[test]
+fn no_cost_is_under_zero() {
+    let mut servers: Results = serde_json::from_str(include_str!("capacity/servers-1.json")).unwrap();
+    of_the_server_table(&mut servers).intercept = -850.0;
+    let it = Runs::of(vec![servers]).estimate("hollow node", "state of the server table", &size()).unwrap();
+    assert_eq!(it.rest, 0.0);
+}
+
 /// A slope whose interval holds zero is no growth: the largest measured value stays.
 #[test]
 fn noise_is_not_carried_to_full_size() {
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -147,6 +147,17 @@
     }
 }
 
+/// How many servers a node holds: those of its stretch of the ring, and the others of their cells.
+fn held_by(layout: RingLayout) -> usize {
+    let mut ring: Vec<_> = (0..LISTED).collect();
+    ring.sort_unstable_by_key(|n| ServerId(*n).ring_position());
+    let stretch = layout.stretch(ring.len(), HELD);
+    assert_eq!(stretch.length, HELD + HELD / 8);
+    let held = ring.iter().cycle().skip(stretch.begins).take(stretch.length);
+    let cells: std::collections::BTreeSet<_> = held.map(|n| n / 4).collect();
+    4 * cells.len()
+}
+
 /// Four servers in a cell.
 fn listed(number: u64) -> ServerEntry {
     ServerEntry { cell: (number / 4) as u16, ..entry(number) }
@@ -174,7 +185,7 @@
             pair.list(ListKind::Full, entries.collect());
             pair.requests(600);
             assert!(pair.sends >= 500, "{}", pair.sends);
-            assert!(pair.roster.held() <= 4 * (HELD + HELD / 8));
+            assert_eq!(pair.roster.held(), held_by(pair.part.ring_layout()));
         }
     }
 }
