--- a/review/standin/case2.rs
+++ b/review/standin/case2.rs
@@ -52,7 +52,7 @@
     let mut random = Random::new(number);
     let mut connection = None;
     while !stop.load(Ordering::SeqCst) {
-        thread::sleep(Duration::from_secs_f64(-random.unit().max(1e-9).ln() * 0.1));
+        thread::sleep(Duration::from_secs_f64(-random.unit().max(1e-9).ln() * 0.07));
         let id = new_id();
         let Some(mut client) = connection.take().or_else(|| Client::open(port).ok()) else { continue };
         let sent = client.write(&view(&id, 400));
--- a/review/standin/case3.rs
+++ b/review/standin/case3.rs
@@ -58,12 +58,12 @@
         }
     }
     let silent_since = Instant::now();
-    // A burst of long claims: one every 10 ms for 0.4 s.
+    // A burst of long claims: one every 7 ms for 0.4 s.
     let fates = Arc::new(Mutex::new(BTreeMap::<String, (usize, Fate)>::new()));
-    let claims: Vec<_> = (0..40)
+    let claims: Vec<_> = (0..60)
         .map(|i| {
             let (port, fates) = (nodes[i % 3].port, fates.clone());
-            thread::sleep(Duration::from_millis(10));
+            thread::sleep(Duration::from_millis(7));
             thread::spawn(move || long_claim(i, port, &fates))
         })
         .collect();
@@ -109,10 +109,10 @@
     }
 }
 
-/// A claim of 3.2 to 4.6 million bytes.
+/// A claim of 3.6 to 4.6 million bytes.
 fn long_claim(number: usize, port: u16, fates: &Mutex<BTreeMap<String, (usize, Fate)>>) {
     let (id, key) = (new_id(), format!("{}{}", new_id(), new_id()));
-    let length = 3_200_000 + number % 8 * 200_000;
+    let length = 3_600_000 + number % 6 * 200_000;
     let text = claim(&id, &key, TRY_MS, length);
     let Ok(mut client) = Client::open(port) else { return };
     record(format!("client sends {id} key {key} with {length} bytes"));
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -456,6 +456,9 @@
     /// The answer, if it comes whole within this time.
     pub fn answer(&mut self, within: Duration) -> io::Result<Answer> {
         self.stream.set_read_timeout(Some(within))?;
+        if self.reader.fill_buf()?.is_empty() {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
         let head = read_head(&mut self.reader).ok_or(io::ErrorKind::UnexpectedEof)?;
         let status = head[0].split(' ').nth(1).and_then(|status| status.parse().ok());
         let status = status.ok_or(io::ErrorKind::InvalidData)?;
