Log how far a streamed body got when its attempt fails

A failed attempt with a streamed body left nothing in the log, so that a reset after the last byte could not be told from one in the middle of the body. The log now has the request, the server, the outcome, the bytes that the attempt has taken, the body's length where it is known, and whether the node counts the body as complete. The streamed request body moves to a module of its own.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -479,6 +479,13 @@
                 Ok(StopReason::Cancelled) | Err(_) => Outcome::Cancelled,
             }, None, None),
         };
+        if let Some(progress) = attempt.forward.body.upload_progress().filter(|_| outcome != Outcome::Served)
+        {
+            log(format_args!(
+                "request {}: server {:x}, streamed body, {outcome:?}: {progress}",
+                attempt.id.0, attempt.server.0
+            ));
+        }
         // A request that was not written in full never ran, whichever side aborted it.
         let broken = matches!(outcome, Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled);
         let outcome = if broken && attempt.forward.body.is_incomplete() { Outcome::NotSent } else { outcome };
--- a/src/bin/sillward/backend/tests.rs
+++ b/src/bin/sillward/backend/tests.rs
@@ -472,7 +472,7 @@
 
 /// A request body of `length` bytes, of which a client has sent the first `sent`; with the client's
 /// connection.
-async fn upload(length: usize, sent: usize) -> (crate::body::Upload, TcpStream) {
+async fn upload(length: usize, sent: usize) -> (crate::upload::Upload, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let mut client =
         TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a connection");
@@ -495,7 +495,7 @@
     let body = received.recv().await.expect("a request");
     let idle_budget = crate::body::IdleBudget::until(tokio::time::Instant::now() + MINUTE);
     let (upload, _unread) =
-        crate::body::Upload::new((Bytes::new(), None), body, idle_budget, Box::new(|| {}));
+        crate::upload::Upload::new((Bytes::new(), None), body, idle_budget, Box::new(|| {}));
     (upload, client)
 }
 
--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -1,13 +1,14 @@
 //! The clients' side of the node: accepts connections, reads and validates requests, and writes the final
 //! responses.
 
-use crate::body::{Download, IdleBudget, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, STALL_TIMEOUT, Upload};
+use crate::body::{Download, IdleBudget, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, STALL_TIMEOUT};
 use crate::client::{Client, CloseMode, READ_TIMEOUT, TimeoutAction};
 use crate::client_stream::ClientStream;
 use crate::handover::HotRestart;
 use crate::lifecycle::{DRAIN_ACCEPT_PERIOD, FINAL_REQUEST_GRACE, Lifecycle, Phase, ProcessState};
 use crate::liveness::{Liveness, PeerState, peer_state};
 use crate::messages::{AcceptedRequest, Answer, ClientPresence, ForwardedRequest, Message, RequestBody};
+use crate::upload::Upload;
 use bytes::{Bytes, BytesMut};
 use hillpick::control::clock::Clock;
 use hillpick::control::config::{Config, LiveSettings};
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -14,6 +14,7 @@
 mod messages;
 mod node;
 mod ops;
+mod upload;
 
 use handover::{HotRestart, Sockets};
 use hillpick::control::clock::Clock;
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -1,8 +1,9 @@
 //! Messages between the node's tasks: the types that the client side, the backend side and the operations
 //! address exchange with the node's event loop. Types alone, so that every other module can depend on them.
 
-use crate::body::{AttemptBody, BodyChunk, Upload};
+use crate::body::{AttemptBody, BodyChunk};
 use crate::liveness::Liveness;
+use crate::upload::{Upload, UploadProgress};
 use bytes::Bytes;
 use hillpick::control::updates::ListUpdate;
 use hillpick::settings::SettingsUpdate;
@@ -124,15 +125,15 @@
     /// The whole body, which every attempt can send.
     Buffered(Bytes),
     /// A body too long to be buffered: the attempt that takes it reads it from the client, and may put it
-    /// back unread. The second field tells whether its last byte has been read.
-    Streamed(RefCell<Option<Box<Upload>>>, Rc<Cell<bool>>),
+    /// back unread. The second field tells how far it has got.
+    Streamed(RefCell<Option<Box<Upload>>>, Rc<UploadProgress>),
 }
 
 impl RequestBody {
     /// A body that is read from the client while it is sent.
     pub fn streamed(upload: Upload) -> Self {
-        let read = upload.fully_read();
-        RequestBody::Streamed(RefCell::new(Some(Box::new(upload))), read)
+        let progress = upload.progress().clone();
+        RequestBody::Streamed(RefCell::new(Some(Box::new(upload))), progress)
     }
 
     /// The body for an attempt to send; `None` if another attempt has taken a streamed one.
@@ -158,7 +159,15 @@
     /// Whether the last byte of a streamed body has not been forwarded yet. If the attempt has ended it never
     /// will be.
     pub fn is_incomplete(&self) -> bool {
-        matches!(self, RequestBody::Streamed(_, read) if !read.get())
+        self.upload_progress().is_some_and(|progress| !progress.is_complete())
+    }
+
+    /// How far a streamed body has got.
+    pub fn upload_progress(&self) -> Option<&UploadProgress> {
+        match self {
+            RequestBody::Buffered(_) => None,
+            RequestBody::Streamed(_, progress) => Some(progress),
+        }
     }
 }
 
