Count a streamed body as complete when its last byte is taken

Clients with a body of a little over 64 KiB got 503, harmless to repeat, when their server died after it had begun to run the request; a repeat ran the key in a second rack. The same requests had no deadline at a server that hangs, and were let go with 503 at 0.65 s after SIGTERM while they ran.

Cause: the chunk that makes a body too long to buffer may be its last. The body was then handed over as one piece, and only a later piece marked it complete; hyper polls no body of known length past its end. Its attempt's reset was reported as not sent, and the message that starts the request's time was never sent.

Change: a body is complete once as many bytes have been taken as its length says, wherever they came from. One that has arrived whole when streaming begins starts the request's time at once. Attempts that were sent while the body arrived get a time-out when it is whole, and an attempt's deadline follows the request's. A shutdown lets go of requests whose last byte has not arrived, whatever an attempt has taken.

Tests: three of uploads, six lengths, known and chunked.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -543,7 +543,7 @@
     /// deadline, the backend's drain grace or the deduplication window; to another generation of the backend;
     /// or once the request has its answer or its client has disconnected.
     fn build_request(&self, generation: Option<u64>, attempt: &Attempt) -> Option<Request<AttemptBody>> {
-        let (now, forward) = (self.clock.now(), &attempt.forward);
+        let (now, deadline, forward) = (self.clock.now(), attempt.deadline(), &attempt.forward);
         let backends = self.backends.borrow();
         let backend =
             backends.get(&attempt.server).filter(|backend| Some(backend.generation) == generation)?;
@@ -553,7 +553,7 @@
             .is_some_and(|(window, first)| now >= first + window);
         let grace_over = backend.draining_since.is_some_and(|since| now >= since + self.drain_grace());
         if forward.finished.get()
-            || now >= attempt.deadline
+            || now >= deadline
             || grace_over
             || window_over
             || forward.client.check_disconnected()
@@ -562,7 +562,7 @@
         }
         // While the body is being received, the client's time has not begun: the backend gets the whole
         // budget.
-        let remaining_ms = (attempt.deadline - now).min(forward.budget).as_millis().max(1) as u64;
+        let remaining_ms = (deadline - now).min(forward.budget).as_millis().max(1) as u64;
         let address = backend.address?;
         let mut request = Request::new(forward.body.take()?);
         *request.method_mut() = forward.method.clone();
@@ -602,7 +602,7 @@
         // The response may be long. Without a known length it is buffered until half of the remaining time is
         // over, so that the client gets its first bytes in time.
         let now = self.clock.now();
-        let deadline = attempt.deadline.min(attempt.forward.deadline.get());
+        let deadline = attempt.deadline();
         let buffer_until = self.clock.instant(now + deadline.saturating_sub(now) / 2);
         let mut buffered = BytesMut::new();
         while buffered.is_empty() || length.is_none() && buffered.len() <= MAX_BUFFERED_BYTES {
--- a/src/bin/sillward/backend/tests.rs
+++ b/src/bin/sillward/backend/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::backend_stream::MIN_QUARANTINE;
 use crate::messages::{ForwardedRequest, RequestBody};
+use crate::upload::tests::upload;
 use hillpick::RequestId;
 use hillpick::ServerEntry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -57,7 +58,13 @@
         finished: Cell::new(false),
         client: Rc::default(),
     };
-    Attempt { id: RequestId(1), number: 0, server: SERVER, deadline: now + MINUTE, forward: Rc::new(forward) }
+    Attempt {
+        id: RequestId(1),
+        number: 0,
+        server: SERVER,
+        initial_deadline: now + MINUTE,
+        forward: Rc::new(forward),
+    }
 }
 
 /// Makes an attempt after `change`, which happens between the decision and the attempt. Returns its outcome
@@ -179,7 +186,7 @@
 #[test]
 fn an_attempt_that_is_no_longer_permitted_is_not_sent() {
     let nothing = || (Outcome::NotSent, String::new());
-    let late = attempt_after(|_, attempt, _, now| attempt.deadline = now);
+    let late = attempt_after(|_, attempt, _, now| attempt.initial_deadline = now);
     assert_eq!(late, nothing(), "its deadline has passed");
     let over = attempt_after(|_, attempt, _, _| attempt.forward.finished.set(true));
     assert_eq!(over, nothing(), "the request has its answer");
@@ -470,35 +477,6 @@
     );
 }
 
-/// A request body of `length` bytes, of which a client has sent the first `sent`; with the client's
-/// connection.
-async fn upload(length: usize, sent: usize) -> (crate::upload::Upload, TcpStream) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let mut client =
-        TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a connection");
-    let (stream, _) = listener.accept().await.expect("the client");
-    let (bodies, mut received) = mpsc::channel(1);
-    spawn_local(async move {
-        let service = hyper::service::service_fn(move |request: Request<Incoming>| {
-            let bodies = bodies.clone();
-            async move {
-                let _ = bodies.send(request.into_body()).await;
-                std::future::pending::<Result<Response<Full<Bytes>>, std::convert::Infallible>>().await
-            }
-        });
-        let _ =
-            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-    });
-    let head = format!("POST /submit/1 HTTP/1.1\r\nHost: node\r\nContent-Length: {length}\r\n\r\n");
-    client.write_all(head.as_bytes()).await.expect("it is read");
-    client.write_all(&vec![b'x'; sent]).await.expect("it is read");
-    let body = received.recv().await.expect("a request");
-    let idle_budget = crate::body::IdleBudget::until(tokio::time::Instant::now() + MINUTE);
-    let (upload, _unread) =
-        crate::upload::Upload::new((Bytes::new(), None), body, idle_budget, Box::new(|| {}));
-    (upload, client)
-}
-
 /// A short response may arrive while the request's body is still being sent. The connection can be reused
 /// only if the whole request has been written.
 #[test]
--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -466,7 +466,7 @@
         else {
             return Ok(Some(plain_response(StatusCode::BAD_GATEWAY, Bytes::new())));
         };
-        let mut unread = None;
+        let (mut unread, mut received_whole) = (None, None);
         forward.body = match rest {
             None => {
                 forward.buffer_permit = buffer_permit;
@@ -476,9 +476,11 @@
                 (new_request.body_streaming, forward.deadline) =
                     (true, Cell::new(received_at + UPLOAD_DEADLINE));
                 let message = Message::BodyReceived(new_request.id);
-                let on_last_byte = Box::new(move || drop(body_permit.send(message)));
+                let on_received = Box::new(move || drop(body_permit.send(message)));
+                let arrived = rest.is_end_stream();
                 let (upload, unread_rest) =
-                    Upload::new((body, buffer_permit), rest, idle_budget, on_last_byte);
+                    Upload::new((body, buffer_permit), rest, idle_budget, on_received);
+                received_whole = arrived.then(|| upload.progress().clone());
                 unread = Some(unread_rest);
                 RequestBody::streamed(upload)
             }
@@ -505,6 +507,8 @@
             forward,
             reply,
         })));
+        // The chunk that made the body too long to buffer may also be its last: its time starts now.
+        received_whole.iter().for_each(|progress| progress.record_received());
         let answer = match (answer.await, disconnect_guard.0.finish()) {
             (Ok(answer), _) => answer,
             (Err(_), true) => Answer::Failed,
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -250,12 +250,21 @@
     pub number: u32,
     /// The server.
     pub server: ServerId,
-    /// When the node stops waiting for it.
-    pub deadline: Duration,
+    /// When the node stops waiting for it, as far as is known when it is decided on; see
+    /// [`Attempt::deadline`].
+    pub initial_deadline: Duration,
     /// What is sent.
     pub forward: Rc<ForwardedRequest>,
 }
 
+impl Attempt {
+    /// When the node stops waiting for it. The deadline of a request with a streamed body is known only once
+    /// the last byte has arrived.
+    pub fn deadline(&self) -> Duration {
+        self.initial_deadline.min(self.forward.deadline.get())
+    }
+}
+
 /// Why an attempt is stopped.
 pub enum StopReason {
     /// Its time is over.
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -30,6 +30,8 @@
     forward: Rc<ForwardedRequest>,
     /// Where the final answer goes; `None` once it has been given.
     reply: Option<oneshot::Sender<Answer>>,
+    /// Whether the request's last byte has arrived, so that its time runs.
+    received: bool,
     /// The most attempts, by the settings under which the request was accepted.
     max_attempts: usize,
     /// In the order of the `Send` actions; an attempt's number is its index.
@@ -173,8 +175,7 @@
                 let _ = reply.send(self.subset_status()); // the caller may have gone
             }
             Message::BodyDeadline => {
-                let incomplete =
-                    self.requests.iter().filter(|(_, pending)| pending.forward.body.is_incomplete());
+                let incomplete = self.requests.iter().filter(|(_, pending)| !pending.received);
                 let attempts =
                     incomplete.flat_map(|(id, pending)| (0..pending.attempts.len()).map(|i| (*id, i as u32)));
                 // The decision module is told that these attempts were not sent in full, and gives the
@@ -237,6 +238,7 @@
         let pending = PendingRequest {
             forward: Rc::new(forward),
             reply: Some(reply),
+            received: !request.body_streaming,
             max_attempts: max_attempts.max(1) as usize,
             attempts: Vec::new(),
         };
@@ -253,9 +255,13 @@
         let now = self.clock.now();
         let Some(pending) = self.requests.get_mut(&id) else { return };
         let deadline = now + pending.forward.budget;
+        pending.received = true;
         pending.forward.deadline.set(deadline);
         // The time that the client took to send the body says nothing about the backend.
         pending.attempts.iter_mut().for_each(|attempt| attempt.sent_at = now);
+        let in_flight: Vec<_> =
+            (0..).zip(&pending.attempts).filter(|(_, a)| !a.ended).map(|(number, _)| number).collect();
+        in_flight.into_iter().for_each(|number| self.arm(deadline, Timer::Attempt(id, number)));
         self.set_deadline(id, deadline);
         self.handle_event(Event::BodyReceived { id });
     }
@@ -379,7 +385,7 @@
         let now = self.clock.now();
         let pending = self.requests.get_mut(&id)?;
         let (number, finished) = (pending.attempts.len() as u32, pending.reply.is_none());
-        let deadline = pending.forward.deadline.get();
+        let (deadline, received) = (pending.forward.deadline.get(), pending.received);
         if finished || now >= deadline || pending.attempts.len() >= pending.max_attempts {
             pending.attempts.push(PendingAttempt {
                 server,
@@ -401,8 +407,13 @@
         }
         let attempt_deadline = if timeout.is_zero() { deadline } else { deadline.min(now + timeout) };
         let (stop, stopped) = oneshot::channel();
-        let attempt =
-            Attempt { id, number, server, deadline: attempt_deadline, forward: pending.forward.clone() };
+        let attempt = Attempt {
+            id,
+            number,
+            server,
+            initial_deadline: attempt_deadline,
+            forward: pending.forward.clone(),
+        };
         pending.attempts.push(PendingAttempt {
             server,
             sent_at: now,
@@ -410,8 +421,8 @@
             time_to_start: None,
             ended: false,
         });
-        if !attempt.forward.body.is_incomplete() {
-            // While the body is being received, the attempt has no timeout.
+        // While the body is being received, the attempt has no timeout.
+        if received {
             self.arm(attempt_deadline, Timer::Attempt(id, number));
         }
         let (pool, messages) = (self.pool.clone(), self.messages.clone());
--- a/src/bin/sillward/upload.rs
+++ b/src/bin/sillward/upload.rs
@@ -20,9 +20,42 @@
     forwarded: Cell<u64>,
     /// Whether an attempt has taken the last byte.
     complete: Cell<bool>,
+    /// The callback for when the last byte has arrived; `None` once it has run.
+    on_received: Cell<Option<Box<dyn FnOnce()>>>,
 }
 
 impl UploadProgress {
+    fn new(length: Option<u64>, on_received: Box<dyn FnOnce()>) -> Self {
+        UploadProgress {
+            length,
+            forwarded: Cell::new(0),
+            complete: Cell::new(false),
+            on_received: Cell::new(Some(on_received)),
+        }
+    }
+
+    /// An attempt takes these bytes. The last ones of a known length complete the body: it is not polled for
+    /// its end after them.
+    fn record_forwarded(&self, bytes: usize) {
+        self.forwarded.set(self.forwarded.get() + bytes as u64);
+        if self.length == Some(self.forwarded.get()) {
+            self.finish();
+        }
+    }
+
+    /// An attempt has taken the last byte.
+    fn finish(&self) {
+        self.complete.set(true);
+        self.record_received();
+    }
+
+    /// The last byte has arrived from the client. Runs the callback, the first time.
+    pub fn record_received(&self) {
+        if let Some(on_received) = self.on_received.take() {
+            on_received();
+        }
+    }
+
     /// Whether an attempt has taken the last byte, so that its backend may get the whole request.
     pub fn is_complete(&self) -> bool {
         self.complete.get()
@@ -49,32 +82,28 @@
     idle_budget: IdleBudget,
     idle_timer: Option<(Instant, Pin<Box<Sleep>>)>,
     progress: Rc<UploadProgress>,
-    /// The callback to run when the last byte has arrived.
-    on_last_byte: Option<Box<dyn FnOnce()>>,
     /// On drop, returns the unread rest to the frontend.
     return_unread: Option<oneshot::Sender<(Incoming, IdleBudget)>>,
 }
 
 impl Upload {
     /// A body that begins with the buffered `prefix`, and the channel that returns what stays unread of
-    /// `rest`.
+    /// `rest`. `on_received` runs once the last byte has arrived, see [`UploadProgress::record_received`].
     pub fn new(
         (prefix, buffer_permit): (Bytes, Option<OwnedSemaphorePermit>),
         rest: Incoming,
         idle_budget: IdleBudget,
-        on_last_byte: Box<dyn FnOnce()>,
+        on_received: Box<dyn FnOnce()>,
     ) -> (Self, oneshot::Receiver<(Incoming, IdleBudget)>) {
         let (return_unread, unread) = oneshot::channel();
         let length = rest.size_hint().exact().map(|rest| rest + prefix.len() as u64);
-        let progress = UploadProgress { length, forwarded: Cell::new(0), complete: Cell::new(false) };
         let upload = Upload {
             prefix,
             buffer_permit,
             rest: Some(rest),
             idle_budget,
             idle_timer: None,
-            progress: Rc::new(progress),
-            on_last_byte: Some(on_last_byte),
+            progress: Rc::new(UploadProgress::new(length, on_received)),
             return_unread: Some(return_unread),
         };
         (upload, unread)
@@ -85,14 +114,6 @@
         &self.progress
     }
 
-    /// The last byte has arrived, and is forwarded with the current chunk or has been before.
-    fn finish(&mut self) {
-        self.progress.complete.set(true);
-        if let Some(on_last_byte) = self.on_last_byte.take() {
-            on_last_byte();
-        }
-    }
-
     /// The length that is still to be written, the buffered prefix included.
     pub fn size_hint(&self) -> SizeHint {
         let rest = self.rest.as_ref().map(Incoming::size_hint).unwrap_or_default();
@@ -110,7 +131,7 @@
         if !self.prefix.is_empty() {
             self.buffer_permit = None;
             let prefix = std::mem::take(&mut self.prefix);
-            self.progress.forwarded.set(prefix.len() as u64);
+            self.progress.record_forwarded(prefix.len());
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
         let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
@@ -127,21 +148,16 @@
         };
         let waited = self.idle_timer.take().map(|(since, _)| since.elapsed()).unwrap_or_default();
         let Some(frame) = frame else {
-            self.finish();
+            self.progress.finish();
             return Poll::Ready(None);
         };
         let Ok(frame) = frame else { return Poll::Ready(Some(Err(BodyError::Disconnected))) };
         let data = frame.into_data().unwrap_or_default();
         self.idle_budget.record(waited, data.len());
-        let total_bytes = self.progress.forwarded.get() + data.len() as u64;
-        if total_bytes > MAX_BODY_BYTES {
+        if self.progress.forwarded.get() + data.len() as u64 > MAX_BODY_BYTES {
             return Poll::Ready(Some(Err(BodyError::TooLong)));
         }
-        self.progress.forwarded.set(total_bytes);
-        // If the length is known, the body is not polled again after its last chunk.
-        if self.rest.as_ref().is_some_and(Incoming::is_end_stream) {
-            self.finish();
-        }
+        self.progress.record_forwarded(data.len());
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
 }
@@ -155,3 +171,6 @@
         }
     }
 }
+
+#[cfg(test)]
+pub mod tests;
--- /dev/null
+++ b/src/bin/sillward/upload/tests.rs
@@ -0,0 +1,91 @@
+//! Streamed request bodies alone, from clients on loopback sockets.
+
+use super::*;
+use http_body_util::{BodyExt, Full};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::future::{pending, poll_fn};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// A request body with this framing header, of which a client has sent `sent`; with the client's connection.
+pub async fn incoming(framing: &str, sent: &[u8]) -> (Incoming, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut client =
+        TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a connection");
+    let (stream, _) = listener.accept().await.expect("the client");
+    let (bodies, mut received) = mpsc::channel(1);
+    spawn_local(async move {
+        let service = service_fn(move |request: Request<Incoming>| {
+            let bodies = bodies.clone();
+            async move {
+                let _ = bodies.send(request.into_body()).await;
+                pending::<Result<Response<Full<Bytes>>, Infallible>>().await
+            }
+        });
+        let _ =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    });
+    let head = format!("POST /submit/1 HTTP/1.1\r\nHost: node\r\n{framing}\r\n\r\n");
+    client.write_all(head.as_bytes()).await.expect("it is read");
+    client.write_all(sent).await.expect("it is read");
+    (received.recv().await.expect("a request"), client)
+}
+
+/// A streamed body of `length` bytes without a prefix, of which a client has sent the first `sent`; with the
+/// client's connection.
+pub async fn upload(length: usize, sent: usize) -> (Upload, TcpStream) {
+    let framing = format!("Content-Length: {length}");
+    let (body, client) = incoming(&framing, &vec![b'x'; sent]).await;
+    (Upload::new((Bytes::new(), None), body, idle_budget(), Box::new(|| {})).0, client)
+}
+
+fn idle_budget() -> IdleBudget {
+    IdleBudget::until(Instant::now() + MINUTE)
+}
+
+/// The length of the next chunk; `None` at the end.
+async fn next_chunk(upload: &mut Upload) -> Option<usize> {
+    let frame = poll_fn(|cx| Pin::new(&mut *upload).poll_frame(cx)).await?;
+    Some(frame.expect("no error").into_data().expect("data").len())
+}
+
+/// Guards against a body that ends in the chunk that made it too long to buffer: an attempt that has written
+/// all of it counted as one that had not, because nothing polls a body of known length for its end.
+#[test]
+fn a_body_is_complete_once_its_last_byte_is_taken_wherever_streaming_began() {
+    const LENGTH: usize = 70_000;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        for prefix_length in [1, LENGTH / 2, LENGTH] {
+            let (mut body, _client) =
+                incoming(&format!("Content-Length: {LENGTH}"), &vec![b'x'; LENGTH]).await;
+            let mut prefix = Vec::new();
+            while prefix.len() < prefix_length {
+                let frame = body.frame().await.expect("more").expect("no error");
+                prefix.extend_from_slice(&frame.into_data().expect("data"));
+            }
+            let received = Rc::new(Cell::new(0));
+            let counter = received.clone();
+            let on_received = Box::new(move || counter.set(counter.get() + 1));
+            let (mut upload, _unread) = Upload::new((prefix.into(), None), body, idle_budget(), on_received);
+            assert!(!upload.progress().is_complete(), "nothing has been taken");
+            let mut taken = 0;
+            while taken < LENGTH {
+                assert!(!upload.progress().is_complete(), "{taken} of {LENGTH} bytes were taken");
+                taken += next_chunk(&mut upload).await.expect("more");
+            }
+            assert!(upload.progress().is_complete(), "{prefix_length} bytes were buffered");
+            assert_eq!(received.get(), 1, "{prefix_length} bytes were buffered");
+            upload.progress().record_received();
+            assert_eq!(received.get(), 1, "it is told once");
+        }
+    });
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -11,6 +11,7 @@
 mod restarts;
 mod subset_node;
 mod unsolicited;
+mod uploads;
 
 use harness::*;
 use std::net::TcpListener;
