Start a request's time when its last byte arrives, not when the node reads it

While servers are silent, some long uploads to them were never answered and never closed, though the node's machine had acknowledged their last byte.

Cause: the node reads a streamed body only as fast as the backend takes it. While that takes nothing the last bytes stay in the kernel, so the request had no deadline, its attempt no time-out, and a client's disconnect was not seen.

When that time is over the attempt is stopped before the answer is given, so that a request which no server got whole is refused and not failed.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -1,9 +1,10 @@
 //! The backend side: the connection pool, and the attempts and probes that are sent over its connections.
 
 use crate::backend_stream::{BackendStream, ExchangeState, Quarantine};
-use crate::body::{AttemptBody, BodyChunk, MAX_BUFFERED_BYTES, STALL_TIMEOUT};
+use crate::body::{BodyChunk, MAX_BUFFERED_BYTES, STALL_TIMEOUT};
 use crate::handover::HotRestart;
 use crate::messages::{Attempt, AttemptResult, Message, ResponseStart, StopReason};
+use crate::upload::AttemptBody;
 use bytes::{Bytes, BytesMut};
 use hillpick::control::clock::Clock;
 use hillpick::control::config::{Config, LiveSettings};
@@ -469,6 +470,14 @@
                 stop => stop,
             }
         };
+        // A backend that takes no more of a body which is still arriving; once it has arrived the request has
+        // a deadline.
+        let stalled = async {
+            match attempt.forward.body.upload_progress() {
+                Some(progress) => progress.stalled().await,
+                None => std::future::pending().await,
+            }
+        };
         let (outcome, report, body) = tokio::select! {
             biased;
             result = self.send_attempt(generation, &attempt, &stage, &messages) => result,
@@ -478,6 +487,7 @@
                 Ok(StopReason::TimedOut) => Outcome::TimedOut,
                 Ok(StopReason::Cancelled) | Err(_) => Outcome::Cancelled,
             }, None, None),
+            () = stalled => (Outcome::TimedOut, None, None),
         };
         if let Some(progress) = attempt.forward.body.upload_progress().filter(|_| outcome != Outcome::Served)
         {
--- a/src/bin/sillward/body.rs
+++ b/src/bin/sillward/body.rs
@@ -2,9 +2,7 @@
 //! slow reader slows the writer down, and only the chunks in transit are held in memory. [`Upload`] is a
 //! request body, [`Download`] a response body.
 
-use crate::upload::Upload;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use std::fmt;
 use std::pin::Pin;
@@ -71,43 +69,6 @@
 
 impl std::error::Error for BodyError {}
 
-/// The request body that an attempt writes.
-pub enum AttemptBody {
-    /// The whole body.
-    Buffered(Full<Bytes>),
-    /// A body that is read from the client while it is written.
-    Streamed(Box<Upload>),
-}
-
-impl Body for AttemptBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match &mut *self {
-            AttemptBody::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            AttemptBody::Streamed(body) => Pin::new(&mut **body).poll_frame(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            AttemptBody::Buffered(body) => body.is_end_stream(),
-            AttemptBody::Streamed(body) => body.progress().is_complete(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            AttemptBody::Buffered(body) => body.size_hint(),
-            AttemptBody::Streamed(body) => body.size_hint(),
-        }
-    }
-}
-
 /// A chunk of a streamed response. A channel that closes without an `End` means that the response broke off.
 pub enum BodyChunk {
     /// The next bytes.
--- a/src/bin/sillward/client.rs
+++ b/src/bin/sillward/client.rs
@@ -12,6 +12,9 @@
 /// has been idle for this long may be closed as well.
 pub const READ_TIMEOUT: Duration = IDLE_TIMEOUT;
 
+/// Read buffer of a connection: no request head may be longer.
+pub const READ_BUFFER_BYTES: usize = 32 * 1024;
+
 /// The state of a client's connection.
 pub struct Client {
     /// When it was accepted.
--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -1,8 +1,9 @@
 //! The clients' side of the node: accepts connections, reads and validates requests, and writes the final
 //! responses.
 
+use crate::arrival;
 use crate::body::{Download, IdleBudget, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, STALL_TIMEOUT};
-use crate::client::{Client, CloseMode, READ_TIMEOUT, TimeoutAction};
+use crate::client::{Client, CloseMode, READ_BUFFER_BYTES, READ_TIMEOUT, TimeoutAction};
 use crate::client_stream::ClientStream;
 use crate::handover::HotRestart;
 use crate::lifecycle::{DRAIN_ACCEPT_PERIOD, FINAL_REQUEST_GRACE, Lifecycle, Phase, ProcessState};
@@ -27,8 +28,9 @@
 use rustix::net::{Shutdown, shutdown};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::fmt;
-use std::future::{Future, poll_fn};
+use std::future::{Future, pending, poll_fn};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -43,8 +45,6 @@
 /// Deadline of a request whose streamed body is still arriving: none in effect, as an idle sender ends it
 /// earlier.
 const UPLOAD_DEADLINE: Duration = Duration::from_secs(86_400);
-/// Read buffer of a connection: no request head may be longer.
-const READ_BUFFER_BYTES: usize = 32 * 1024;
 /// Pause after an accept that failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// How long a shutdown waits for bodies that are still being streamed: long enough for the longest body at a
@@ -466,7 +466,8 @@
         else {
             return Ok(Some(plain_response(StatusCode::BAD_GATEWAY, Bytes::new())));
         };
-        let (mut unread, mut received_whole) = (None, None);
+        let (mut unread, mut progress) = (None, None);
+        let arrived = rest.as_ref().is_some_and(Incoming::is_end_stream);
         forward.body = match rest {
             None => {
                 forward.buffer_permit = buffer_permit;
@@ -475,12 +476,12 @@
             Some(rest) => {
                 (new_request.body_streaming, forward.deadline) =
                     (true, Cell::new(received_at + UPLOAD_DEADLINE));
-                let message = Message::BodyReceived(new_request.id);
-                let on_received = Box::new(move || drop(body_permit.send(message)));
-                let arrived = rest.is_end_stream();
+                let id = new_request.id;
+                let on_received =
+                    Box::new(move |at| drop(body_permit.send(Message::BodyReceived { id, at })));
                 let (upload, unread_rest) =
                     Upload::new((body, buffer_permit), rest, idle_budget, on_received);
-                received_whole = arrived.then(|| upload.progress().clone());
+                progress = Some(upload.progress().clone());
                 unread = Some(unread_rest);
                 RequestBody::streamed(upload)
             }
@@ -500,7 +501,7 @@
         }
         let client = Rc::new(ClientPresence::new(new_request.id, liveness, disconnect_permit));
         forward.client = client.clone();
-        let disconnect_guard = DisconnectGuard(client);
+        let disconnect_guard = DisconnectGuard(client.clone());
         request_permit.send(Message::Request(Box::new(AcceptedRequest {
             request: new_request,
             received_at,
@@ -508,8 +509,19 @@
             reply,
         })));
         // The chunk that made the body too long to buffer may also be its last: its time starts now.
-        received_whole.iter().for_each(|progress| progress.record_received());
-        let answer = match (answer.await, disconnect_guard.0.finish()) {
+        progress.iter().filter(|_| arrived).for_each(|progress| progress.record_received(Instant::now()));
+        let watch = async {
+            if let Some(progress) = progress {
+                arrival::watch(&progress, &client).await;
+            }
+            pending::<Infallible>().await
+        };
+        let answer = tokio::select! {
+            biased;
+            answer = answer => answer,
+            never = watch => match never {},
+        };
+        let answer = match (answer, disconnect_guard.0.finish()) {
             (Ok(answer), _) => answer,
             (Err(_), true) => Answer::Failed,
             (Err(_), false) => return Ok(None), // an attempt noticed the disconnect before the runtime did
--- a/src/bin/sillward/liveness.rs
+++ b/src/bin/sillward/liveness.rs
@@ -1,9 +1,10 @@
-//! Whether a client is still connected, asked of the kernel just before an attempt. The runtime learns of a
+//! What the kernel knows of a client's connection: whether the client is still connected, asked just before an
+//! attempt, and how much of what it sent is unread. The runtime learns of a
 //! disconnect only when it next reads, and it reads nothing while bytes that follow a request are unread: an
 //! attempt can't wait for that.
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use rustix::io::Errno;
+use rustix::io::{Errno, ioctl_fionread};
 use rustix::net::{RecvFlags, recv};
 use std::cell::RefCell;
 use std::rc::{Rc, Weak};
@@ -28,6 +29,12 @@
         let Some(stream) = stream.upgrade() else { return true };
         peer_state(&stream.borrow()) == PeerState::Disconnected
     }
+
+    /// The bytes from the client that the kernel holds unread; none if there is no connection.
+    pub fn unread_bytes(&self) -> u64 {
+        let stream = self.0.as_ref().and_then(Weak::upgrade);
+        stream.and_then(|stream| ioctl_fionread(&*stream.borrow()).ok()).unwrap_or_default()
+    }
 }
 
 /// What the kernel knows of the peer of a connection.
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -2,6 +2,7 @@
 //! This file reads the configuration, starts the node's tasks and handles signals.
 #![forbid(unsafe_code)]
 
+mod arrival;
 mod backend;
 mod backend_stream;
 mod body;
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -1,9 +1,9 @@
 //! Messages between the node's tasks: the types that the client side, the backend side and the operations
 //! address exchange with the node's event loop. Types alone, so that every other module can depend on them.
 
-use crate::body::{AttemptBody, BodyChunk};
+use crate::body::BodyChunk;
 use crate::liveness::Liveness;
-use crate::upload::{Upload, UploadProgress};
+use crate::upload::{AttemptBody, Upload, UploadProgress};
 use bytes::Bytes;
 use hillpick::control::updates::ListUpdate;
 use hillpick::settings::SettingsUpdate;
@@ -17,13 +17,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::time::Instant;
 
 /// A message to the node's event loop.
 pub enum Message {
     /// A client's request has been accepted.
     Request(Box<AcceptedRequest>),
-    /// The last byte of a streamed request body has been received.
-    BodyReceived(RequestId),
+    /// The last byte of a streamed request body has arrived.
+    BodyReceived {
+        /// The request.
+        id: RequestId,
+        /// When the byte arrived.
+        at: Instant,
+    },
     /// The first bytes of a streamed response have been received.
     ResponseStarted(ResponseStart),
     /// The client has disconnected before its final answer.
@@ -198,6 +204,11 @@
         disconnected
     }
 
+    /// The bytes that the client has sent and the node has not read yet.
+    pub fn unread_bytes(&self) -> u64 {
+        self.liveness.unread_bytes()
+    }
+
     /// Tells the node that the client has disconnected, unless it has been told or the request is finished.
     pub fn report_disconnected(&self) {
         if let Some(queue_slot) = self.queue_slot.take() {
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -155,7 +155,7 @@
                 self.handle_event(Event::ClientGone { id });
                 self.remove_finished(id);
             }
-            Message::BodyReceived(id) => self.on_body_received(id),
+            Message::BodyReceived { id, at } => self.on_body_received(id, at.elapsed()),
             Message::ResponseStarted(start) => self.on_response_started(start),
             Message::AttemptEnded(result) => self.on_attempt_ended(result),
             Message::ProbeEnded(ProbeResult { server, outcome, sent_at, report }) => {
@@ -251,19 +251,20 @@
         self.arm(deadline.saturating_sub(self.site.settings.timer_resolution), Timer::Deadline(id));
     }
 
-    fn on_body_received(&mut self, id: RequestId) {
-        let now = self.clock.now();
+    /// The last byte of a streamed body has arrived, this long ago.
+    fn on_body_received(&mut self, id: RequestId, age: Duration) {
+        let received_at = self.clock.now().saturating_sub(age);
         let Some(pending) = self.requests.get_mut(&id) else { return };
-        let deadline = now + pending.forward.budget;
+        let deadline = received_at + pending.forward.budget;
         pending.received = true;
         pending.forward.deadline.set(deadline);
         // The time that the client took to send the body says nothing about the backend.
-        pending.attempts.iter_mut().for_each(|attempt| attempt.sent_at = now);
+        pending.attempts.iter_mut().for_each(|attempt| attempt.sent_at = received_at);
         let in_flight: Vec<_> =
             (0..).zip(&pending.attempts).filter(|(_, a)| !a.ended).map(|(number, _)| number).collect();
         in_flight.into_iter().for_each(|number| self.arm(deadline, Timer::Attempt(id, number)));
         self.set_deadline(id, deadline);
-        self.handle_event(Event::BodyReceived { id });
+        self.handle_event(Event::BodyReceived { id, age });
     }
 
     /// A response is the client's from its first bytes on. If the client already has another answer, the
--- a/src/bin/sillward/upload.rs
+++ b/src/bin/sillward/upload.rs
@@ -1,39 +1,62 @@
-//! A streamed request body: it passes from the client to the attempt that takes it, and how far it has got is
-//! known to the request.
+//! Request bodies as attempts send them: buffered ones, and streamed ones ([`Upload`]). A streamed body passes
+//! from the client to the attempt that takes it, and how far it has got is known to its request
+//! ([`UploadProgress`]).
 
-use crate::body::{BodyError, IdleBudget, MAX_BODY_BYTES};
+use crate::body::{BodyError, IdleBudget, MAX_BODY_BYTES, STALL_TIMEOUT};
 use bytes::Bytes;
+use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::Cell;
 use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
+
+/// How often an attempt checks whether its backend still takes the body.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Runs when the last byte of a body has arrived, with the time of that.
+pub type OnReceived = Box<dyn FnOnce(Instant)>;
 
 /// How far a streamed request body has got. The body and its request share it.
 pub struct UploadProgress {
     /// The body's length, where its head gives it.
     length: Option<u64>,
+    /// The bytes that have been read from the client so far.
+    read: Cell<u64>,
     /// The bytes that an attempt has taken so far.
     forwarded: Cell<u64>,
     /// Whether an attempt has taken the last byte.
     complete: Cell<bool>,
+    /// Whether the attempt waits for the client's next bytes.
+    awaiting_client: Cell<bool>,
+    /// When the attempt last asked for bytes, which it does only when its backend takes more.
+    last_polled: Cell<Instant>,
     /// The callback for when the last byte has arrived; `None` once it has run.
-    on_received: Cell<Option<Box<dyn FnOnce()>>>,
+    on_received: Cell<Option<OnReceived>>,
 }
 
 impl UploadProgress {
-    fn new(length: Option<u64>, on_received: Box<dyn FnOnce()>) -> Self {
+    fn new(length: Option<u64>, read: usize, on_received: OnReceived) -> Self {
         UploadProgress {
             length,
+            read: Cell::new(read as u64),
             forwarded: Cell::new(0),
             complete: Cell::new(false),
+            awaiting_client: Cell::new(false),
+            last_polled: Cell::new(Instant::now()),
             on_received: Cell::new(Some(on_received)),
         }
     }
 
+    /// Bytes have been read from the client.
+    fn record_read(&self, bytes: usize) {
+        self.read.set(self.read.get() + bytes as u64);
+    }
+
     /// An attempt takes these bytes. The last ones of a known length complete the body: it is not polled for
     /// its end after them.
     fn record_forwarded(&self, bytes: usize) {
@@ -46,13 +69,48 @@
     /// An attempt has taken the last byte.
     fn finish(&self) {
         self.complete.set(true);
-        self.record_received();
+        self.record_received(Instant::now());
     }
 
-    /// The last byte has arrived from the client. Runs the callback, the first time.
-    pub fn record_received(&self) {
+    /// The last byte has arrived from the client at this time. Runs the callback, the first time.
+    pub fn record_received(&self, at: Instant) {
         if let Some(on_received) = self.on_received.take() {
-            on_received();
+            on_received(at);
+        }
+    }
+
+    /// The body's length, where its head gives it.
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    /// The bytes that have been read from the client so far.
+    pub fn bytes_read(&self) -> u64 {
+        self.read.get()
+    }
+
+    /// Whether the attempt has taken all that has come and waits for the client's next bytes.
+    pub fn is_awaiting_client(&self) -> bool {
+        self.awaiting_client.get()
+    }
+
+    /// Whether an attempt has begun to take the body.
+    pub fn has_begun(&self) -> bool {
+        self.forwarded.get() > 0
+    }
+
+    /// How long the backend has taken nothing of what it could have.
+    fn stalled_for(&self) -> Duration {
+        if !self.has_begun() || self.is_complete() || self.is_awaiting_client() {
+            return Duration::ZERO;
+        }
+        self.last_polled.get().elapsed()
+    }
+
+    /// Waits until the backend has taken nothing for [`STALL_TIMEOUT`].
+    pub async fn stalled(&self) {
+        while self.stalled_for() < STALL_TIMEOUT {
+            sleep(STALL_CHECK_INTERVAL).await;
         }
     }
 
@@ -73,6 +131,43 @@
     }
 }
 
+/// The request body that an attempt writes.
+pub enum AttemptBody {
+    /// The whole body.
+    Buffered(Full<Bytes>),
+    /// A body that is read from the client while it is written.
+    Streamed(Box<Upload>),
+}
+
+impl Body for AttemptBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match &mut *self {
+            AttemptBody::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            AttemptBody::Streamed(body) => Pin::new(&mut **body).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            AttemptBody::Buffered(body) => body.is_end_stream(),
+            AttemptBody::Streamed(body) => body.progress.is_complete(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AttemptBody::Buffered(body) => body.size_hint(),
+            AttemptBody::Streamed(body) => body.size_hint(),
+        }
+    }
+}
+
 /// A streamed request body on its way from the client. It is read once, by the attempt that holds it.
 pub struct Upload {
     /// The part that was read before streaming began, and the buffer memory reserved for it.
@@ -93,17 +188,18 @@
         (prefix, buffer_permit): (Bytes, Option<OwnedSemaphorePermit>),
         rest: Incoming,
         idle_budget: IdleBudget,
-        on_received: Box<dyn FnOnce()>,
+        on_received: OnReceived,
     ) -> (Self, oneshot::Receiver<(Incoming, IdleBudget)>) {
         let (return_unread, unread) = oneshot::channel();
         let length = rest.size_hint().exact().map(|rest| rest + prefix.len() as u64);
+        let progress = UploadProgress::new(length, prefix.len(), on_received);
         let upload = Upload {
             prefix,
             buffer_permit,
             rest: Some(rest),
             idle_budget,
             idle_timer: None,
-            progress: Rc::new(UploadProgress::new(length, on_received)),
+            progress: Rc::new(progress),
             return_unread: Some(return_unread),
         };
         (upload, unread)
@@ -128,6 +224,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.progress.last_polled.set(Instant::now());
         if !self.prefix.is_empty() {
             self.buffer_permit = None;
             let prefix = std::mem::take(&mut self.prefix);
@@ -135,7 +232,9 @@
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
         let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
-        let frame = match Pin::new(rest).poll_frame(cx) {
+        let polled = Pin::new(rest).poll_frame(cx);
+        self.progress.awaiting_client.set(polled.is_pending());
+        let frame = match polled {
             Poll::Ready(frame) => frame,
             Poll::Pending => {
                 let remaining = self.idle_budget.remaining();
@@ -154,7 +253,8 @@
         let Ok(frame) = frame else { return Poll::Ready(Some(Err(BodyError::Disconnected))) };
         let data = frame.into_data().unwrap_or_default();
         self.idle_budget.record(waited, data.len());
-        if self.progress.forwarded.get() + data.len() as u64 > MAX_BODY_BYTES {
+        self.progress.record_read(data.len());
+        if self.progress.bytes_read() > MAX_BODY_BYTES {
             return Poll::Ready(Some(Err(BodyError::TooLong)));
         }
         self.progress.record_forwarded(data.len());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -487,6 +487,8 @@
     BodyReceived {
         /// The request.
         id: RequestId,
+        /// How long ago that was.
+        age: Duration,
     },
     /// A streamed answer has started. No other attempt can answer the client from now on.
     AnswerStarted {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -59,7 +59,7 @@
             }
             Event::SubsetRings(rings) => self.subset_rings = rings,
             Event::Request(new) => self.on_request(new, actions),
-            Event::BodyReceived { id } => self.on_body_received(id, actions),
+            Event::BodyReceived { id, age } => self.on_body_received(id, age, actions),
             Event::AnswerStarted { id, attempt, .. } => self.on_answer_started(id, attempt, actions),
             Event::AttemptEnded(end) => self.on_attempt_ended(end, actions),
             Event::ClientGone { id } => self.close(id, actions),
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -55,19 +55,20 @@
         if class.late_value > 0.0 { deadline } else { deadline.min(target) }
     }
 
-    /// The last byte of a streamed body has arrived: the request's time starts, and so does that of its
-    /// attempt.
-    pub(super) fn on_body_received(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let (now, request) = (self.now, self.requests.get_mut(&id));
+    /// The last byte of a streamed body arrived this long ago: the request's time started then, and so did
+    /// that of its attempt.
+    pub(super) fn on_body_received(&mut self, id: RequestId, age: Duration, actions: &mut Vec<Action>) {
+        let (now, received_at) = (self.now, self.now.saturating_sub(age));
+        let request = self.requests.get_mut(&id);
         let Some((request, new)) = request.and_then(|r| r.receiving.take().map(|new| (r, new))) else {
             return;
         };
         for attempt in request.attempts.iter_mut().filter(|a| a.outcome.is_none()) {
-            (attempt.sent, attempt.counts_as_load) = (now, true);
+            (attempt.sent, attempt.counts_as_load) = (received_at, true);
             self.servers.get_mut(&attempt.server.id).into_iter().for_each(|s| s.attempt_started(true));
         }
         let (class_index, class) = (request.class, request.policy.class.clone());
-        let expires = self.expiry(&new, class_index, &class);
+        let expires = self.expiry(&new, class_index, &class).saturating_sub(age);
         self.requests.entry(id).and_modify(|r| r.expires = expires);
         actions.push(Action::SetTimer { after: expires.saturating_sub(now), token: id.0 });
     }
@@ -112,6 +113,11 @@
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
         if now >= request.expires {
+            // How the attempt of a streamed body ends shows whether its server got all of the body. If not,
+            // a client retry is harmless.
+            if request.streamed_body && !request.done && self.cancel_attempts(id, actions) {
+                return;
+            }
             self.refuse_or_fail(id, actions);
         } else {
             // A request that waits for probes or for a server has waited long enough.
@@ -140,14 +146,23 @@
     /// have ended.
     pub(super) fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         self.awaiting_probes.retain(|waiting| *waiting != id);
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        if !request.done && self.settings.limits.cancel && !request.answer_started {
-            let in_flight = request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
-            actions.extend(in_flight.map(|(i, _)| Action::Cancel { id, attempt: i as u32 }));
+        if self.requests.get(&id).is_some_and(|request| !request.done) {
+            self.cancel_attempts(id, actions);
         }
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.done = true;
         if request.in_flight() == 0 {
             self.requests.remove(&id);
         }
     }
+    /// Cancels a request's attempts in flight, if that is allowed and the client has no part of an answer
+    /// yet; false if nothing was cancelled.
+    fn cancel_attempts(&self, id: RequestId, actions: &mut Vec<Action>) -> bool {
+        let request = self.requests.get(&id).filter(|r| self.settings.limits.cancel && !r.answer_started);
+        let attempts = request.map(|request| request.attempts.as_slice()).unwrap_or_default();
+        let before = actions.len();
+        let in_flight = (0..).zip(attempts).filter(|(_, attempt)| attempt.outcome.is_none());
+        actions.extend(in_flight.map(|(number, _)| Action::Cancel { id, attempt: number }));
+        actions.len() > before
+    }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1095,13 +1095,56 @@
         !harness.answered(id) && harness.in_flight() == [(id, 0)],
         "it has not timed out and is not hedged"
     );
-    harness.handle(Event::BodyReceived { id });
+    harness.handle(Event::BodyReceived { id, age: Duration::ZERO });
     harness.advance(ms(350));
     assert!(!harness.answered(id));
     harness.advance(ms(100));
     assert!(harness.answered(id), "its latency target has passed");
 }
 
+/// Guards against a later deadline for bodies whose last byte is noticed late.
+#[test]
+fn the_time_of_a_streamed_body_starts_when_its_last_byte_arrived_not_when_that_is_told() {
+    let mut settings = settings();
+    settings.classes[0].latency_target = ms(400);
+    let mut harness = Harness::with_servers(settings, 4);
+    let (id, _) = receive_streamed(&mut harness, 0);
+    harness.extend_deadline(id, ms(60_000));
+    harness.advance(ms(30_000));
+    harness.handle(Event::BodyReceived { id, age: ms(150) });
+    harness.advance(ms(245));
+    assert!(!harness.answered(id));
+    harness.advance(ms(15));
+    assert!(harness.answered(id));
+}
+
+/// Guards against failing a request that can't have run, since its server never got all of its body.
+#[test]
+fn a_streamed_body_that_no_server_has_taken_in_time_is_refused_only_if_it_cannot_have_run() {
+    for (outcome, cancel, harmless) in
+        [(Outcome::NotSent, true, true), (Outcome::Cancelled, true, false), (Outcome::NotSent, false, false)]
+    {
+        let mut settings = settings();
+        settings.classes[1].latency_target = ms(400);
+        settings.limits.cancel = cancel;
+        let timer_resolution = settings.timer_resolution;
+        let mut harness = Harness::with_servers(settings, 4);
+        let (id, _) = receive_streamed(&mut harness, 1);
+        harness.handle(Event::BodyReceived { id, age: Duration::ZERO });
+        harness.advance(ms(400) - timer_resolution);
+        assert!(!harness.answered(id));
+        harness.now += timer_resolution;
+        let due = harness.handle(Event::Timer { token: id.0 });
+        if !cancel {
+            assert!(failed(&due), "how the attempt ends is not known: {due:?}");
+            continue;
+        }
+        assert_eq!(due, [Action::Cancel { id, attempt: 0 }]);
+        let end = harness.end_attempt_with(id, 0, outcome, None, true);
+        assert_eq!((refused(&end), failed(&end)), (harmless, !harmless), "{outcome:?}");
+    }
+}
+
 #[test]
 fn a_streamed_body_is_retried_until_an_attempt_consumes_it() {
     let mut harness = Harness::with_servers(settings(), 4);
@@ -1155,7 +1198,7 @@
     let (other, actions) = harness.request(0);
     assert_eq!(sent_to(&actions), [0], "the server has no work yet");
     harness.end_attempt(other, 0, Outcome::Served, None);
-    harness.handle(Event::BodyReceived { id });
+    harness.handle(Event::BodyReceived { id, age: Duration::ZERO });
     assert!(refused(&harness.request(0).1), "now it has work");
     assert_eq!(harness.handle(Event::AnswerStarted { id, attempt: 0, server: ServerId(0) }), []);
     let (other, actions) = harness.request(0);
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -564,6 +564,18 @@
     }
 }
 
+/// The bytes that were written to the connection from this local port to this address and that the peer's
+/// machine has not acknowledged.
+pub fn unacknowledged_bytes(port: u16, to: SocketAddr) -> u64 {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the connections");
+    let hex_port = |address: &str| u16::from_str_radix(address.rsplit(':').next()?, 16).ok();
+    let row = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let mut row = row.filter(|row| hex_port(row[1]) == Some(port) && hex_port(row[2]) == Some(to.port()));
+    let queues = row.next().expect("an open connection")[4].to_owned();
+    let unacknowledged = queues.split(':').next().expect("the transmit queue");
+    u64::from_str_radix(unacknowledged, 16).expect("a number")
+}
+
 /// Waits until the kernel has delivered the close of the connections from these local ports to this address:
 /// on a busy machine it may lag behind the system call.
 pub fn wait_for_closes(ports: &[u16], to: SocketAddr) {
--- a/tests/uploads/mod.rs
+++ b/tests/uploads/mod.rs
@@ -1,11 +1,16 @@
 //! Requests with streamed bodies whose backends fail: what their clients are answered, and when.
 
 use crate::harness::*;
+use rustix::net::sockopt::set_socket_linger;
+use std::io::Write;
+use std::net::TcpListener;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
-use std::thread::sleep;
+use std::thread::{JoinHandle, sleep, spawn};
 use std::time::{Duration, Instant};
 
+const MIB: usize = 1 << 20;
 /// The longest body that is buffered.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Lengths around the place where streaming begins. With a body of up to 96 KiB the chunk that makes it too
@@ -34,24 +39,35 @@
     }
 }
 
-/// Runs a test for each length, with a known length and chunked, all at the same time.
-fn for_each_length(test: impl Fn(usize, bool) + Sync) {
-    std::thread::scope(|scope| {
-        for (length, chunked) in LENGTHS.iter().flat_map(|length| [(*length, false), (*length, true)]) {
-            let test = &test;
-            scope.spawn(move || test(length, chunked));
-        }
-    });
+/// How many nodes run at the same time. Each request has a node of its own, because what a node learns from the
+/// failure of one request may let it refuse the next.
+const PARALLEL_NODES: usize = 4;
+
+/// Runs a test for each of these cases, some at the same time.
+fn for_each<T: Copy + Send>(cases: &[T], test: impl Fn(T) + Sync) {
+    for group in cases.chunks(PARALLEL_NODES) {
+        std::thread::scope(|scope| {
+            for case in group.iter().copied() {
+                let test = &test;
+                scope.spawn(move || test(case));
+            }
+        });
+    }
+}
+
+/// Each length, with a known length and chunked.
+fn lengths_and_framings() -> Vec<(usize, bool)> {
+    LENGTHS.iter().flat_map(|length| [(*length, false), (*length, true)]).collect()
 }
 
 /// Guards against refusing a request, as harmless to repeat, whose backend has got all of it.
 #[test]
 fn a_request_whose_backend_dies_after_its_last_byte_is_not_refused() {
     const BUDGET_MS: u64 = 20_000;
-    for_each_length(|length, chunked| {
-        let backend = Backend::start(|_| Reply::Close(Vec::new()));
-        let (node, _watch, _discovery) = serving_node(&settings(BUDGET_MS, ""), &[&backend]);
+    for_each(&lengths_and_framings(), |(length, chunked)| {
         for class in CLASSES {
+            let backend = Backend::start(|_| Reply::Close(Vec::new()));
+            let (node, _watch, _discovery) = serving_node(&settings(BUDGET_MS, ""), &[&backend]);
             let mut client = node.client();
             send_in_one_piece(&mut client, class, BUDGET_MS, length, chunked);
             let status = client.answer().expect("an answer").status();
@@ -64,7 +80,7 @@
 #[test]
 fn a_request_whose_backend_hangs_after_its_last_byte_is_answered_in_time() {
     const BUDGET_MS: u64 = 1500;
-    for_each_length(|length, chunked| {
+    for_each(&lengths_and_framings(), |(length, chunked)| {
         let backend = Backend::start(|_| Reply::Silence);
         let (node, _watch, _discovery) = serving_node(&settings(BUDGET_MS, ""), &[&backend]);
         let mut client = node.client();
@@ -81,7 +97,7 @@
 #[test]
 fn a_whole_request_is_answered_in_a_shutdown() {
     const BUDGET_MS: u64 = 20_000;
-    for_each_length(|length, chunked| {
+    for_each(&lengths_and_framings(), |(length, chunked)| {
         let (release, release_gate) = channel::<()>();
         let release_gate = Mutex::new(release_gate);
         let backend = Backend::start(move |_| {
@@ -100,3 +116,81 @@
         node.wait_for_exit();
     });
 }
+
+/// The lengths of uploads to backends that read nothing. The kernel's buffers on the node's way to a backend
+/// hold about 4 MB: some fit into them, some arrive whole at the node's machine and don't, and some do neither.
+const HELD_UP_LENGTHS: [usize; 8] =
+    [3 * MIB, 4 * MIB, 4 * MIB + MIB / 4, 4 * MIB + MIB / 2, 5 * MIB, 6 * MIB, 8 * MIB, 16 * MIB];
+
+/// A backend that hangs: the kernel accepts connections for it, and nothing is ever read.
+fn hanging_backend() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port")
+}
+
+/// Starts a node with a hanging backend.
+fn node_of_hanging_backend(budget_ms: u64, backend: &TcpListener) -> (Node, Watch, Discovery) {
+    let (node, mut watch, discovery) = serving_node(&settings(budget_ms, ""), &[]);
+    let address = backend.local_addr().expect("its address");
+    watch.send_line(&list(9, true, &[entry("hanging", address, "in_service")]));
+    (node, watch, discovery)
+}
+
+/// Writes a keyed request from a thread of its own: the write blocks while the node reads nothing.
+fn write_in_background(client: &Client, budget_ms: u64, length: usize) -> JoinHandle<bool> {
+    let headers = format!("Idempotency-Key: 1\r\n{}Content-Length: {length}\r\n", common_headers(budget_ms));
+    let head = format!("POST /submit/1 HTTP/1.1\r\nHost: a\r\n{headers}\r\n");
+    let mut stream = client.write_handle();
+    spawn(move || stream.write_all(&[head.as_bytes(), &vec![b'x'; length]].concat()).is_ok())
+}
+
+/// Guards against uploads that are never answered: their last bytes stay in the kernel of the node's machine
+/// while the backend takes nothing.
+#[test]
+fn an_upload_that_has_arrived_whole_is_answered_in_time_though_its_backend_takes_nothing() {
+    const BUDGET_MS: u64 = 1500;
+    // An upload that takes longer to arrive waits for its backend, and is not owed an answer.
+    const ARRIVAL_LIMIT: Duration = Duration::from_secs(2);
+    let arrived = AtomicUsize::new(0);
+    for_each(&HELD_UP_LENGTHS, |length| {
+        let backend = hanging_backend();
+        let (node, _watch, _discovery) = node_of_hanging_backend(BUDGET_MS, &backend);
+        let mut client = node.client();
+        let writer = write_in_background(&client, BUDGET_MS, length);
+        let port = client.local_port();
+        let limit = Instant::now() + ARRIVAL_LIMIT;
+        while !(writer.is_finished() && unacknowledged_bytes(port, node.address) == 0) {
+            if Instant::now() > limit {
+                return;
+            }
+            sleep(Duration::from_millis(1));
+        }
+        let taken = Instant::now();
+        arrived.fetch_add(1, Ordering::SeqCst);
+        let status = client.answer().expect("an answer").status();
+        assert!([502, 503, 504].contains(&status), "{length} bytes: {status}");
+        let late = taken.elapsed().saturating_sub(Duration::from_millis(BUDGET_MS));
+        assert!(late < MAX_LATENESS, "{length} bytes: {late:?} after its time");
+    });
+    assert!(arrived.load(Ordering::SeqCst) > 0, "no upload arrived whole");
+}
+
+/// Guards against holding the connections of an upload whose client has gone until its backend moves. The
+/// client resets its connection: behind bytes that nobody reads its close would not arrive.
+#[test]
+fn a_client_that_leaves_an_upload_to_a_hanging_backend_frees_both_connections() {
+    const BUDGET_MS: u64 = 20_000;
+    const LENGTH: usize = 32 * MIB;
+    // A write that takes longer shows that the buffers are full.
+    const WRITE_LIMIT: Duration = Duration::from_millis(500);
+    let backend = hanging_backend();
+    let (node, _watch, _discovery) = node_of_hanging_backend(BUDGET_MS, &backend);
+    let client = node.client();
+    let stream = client.write_handle();
+    stream.set_write_timeout(Some(WRITE_LIMIT)).expect("an option");
+    let written = write_in_background(&client, BUDGET_MS, LENGTH).join().expect("it ends");
+    assert!(!written, "the buffers hold less than the body");
+    let held = node.open_descriptors();
+    set_socket_linger(&stream, Some(Duration::ZERO)).expect("an option");
+    drop((stream, client));
+    wait_until(|| node.open_descriptors() + 2 == held, "both connections to close");
+}
