Notice a client that disconnects behind unread bytes while its attempt is out

A client that had sent part of its next request and then disconnected was not noticed while its request was in progress: its attempt kept a server busy until the deadline.

The runtime sees a disconnect only when it reads, and it reads nothing while bytes behind the request are unread.

Change: the frontend asks the kernel ten times a second whether the client of a request in progress has disconnected.

--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -514,6 +514,7 @@
             if let Some(progress) = progress {
                 arrival::watch(&progress, &client).await;
             }
+            client.disconnected().await;
             pending::<Infallible>().await
         };
         let answer = tokio::select! {
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -17,7 +17,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
+
+/// How often the kernel is asked whether the client of a request in progress has disconnected. Mostly the runtime
+/// sees it at once; it does not while bytes behind the request are unread.
+const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A message to the node's event loop.
 pub enum Message {
@@ -204,6 +208,14 @@
         disconnected
     }
 
+    /// Waits until the kernel knows that the client has disconnected, and tells the node.
+    pub async fn disconnected(&self) {
+        sleep(DISCONNECT_CHECK_INTERVAL).await;
+        while !self.check_disconnected() {
+            sleep(DISCONNECT_CHECK_INTERVAL).await;
+        }
+    }
+
     /// The bytes that the client has sent and the node has not read yet.
     pub fn unread_bytes(&self) -> u64 {
         self.liveness.unread_bytes()
--- a/tests/races/client_gone.rs
+++ b/tests/races/client_gone.rs
@@ -92,6 +92,27 @@
     }
 }
 
+/// Guards against an attempt that goes on, and keeps its server busy, for a client whose disconnect unread bytes
+/// of another request hide from the runtime.
+#[test]
+fn a_disconnect_hidden_by_unread_bytes_ends_the_attempt_in_flight() {
+    // Far longer than this test waits.
+    const LONG_DEADLINE_MS: u64 = 500_000;
+    for half_close in [false, true] {
+        let backend = Backend::start(|_| Reply::Silence);
+        let (node, _watch, _discovery) = serving_node(&settings(LONG_DEADLINE_MS, ""), &[&backend]);
+        let mut client = node.client();
+        client.send("POST /correct/1f", &common_headers(LONG_DEADLINE_MS), b"sheet");
+        wait_until(|| backend.request_count() == 1, "the attempt");
+        client.write(b"POST /corr");
+        if half_close {
+            client.write_handle().shutdown(Shutdown::Write).expect("it is open");
+        }
+        let _half_closed = half_close.then_some(client);
+        backend.next_closed();
+    }
+}
+
 /// The node's process is stopped while hundreds of clients disconnect and the responses that would allow a
 /// retry arrive.
 #[test]
