Frontend: functions of their own for answers, settings and the client's watch

How an answer becomes a response, how a request keeps the settings that it began under, and what is watched while it waits are functions now. The time of a body that had arrived whole when streaming began counts from the moment it was read, not from that of its queue slots.

--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -9,7 +9,7 @@
 use crate::lifecycle::{DRAIN_ACCEPT_PERIOD, FINAL_REQUEST_GRACE, Lifecycle, Phase, ProcessState};
 use crate::liveness::{Liveness, PeerState, peer_state};
 use crate::messages::{AcceptedRequest, Answer, ClientPresence, ForwardedRequest, Message, RequestBody};
-use crate::upload::Upload;
+use crate::upload::{Upload, UploadProgress};
 use bytes::{Bytes, BytesMut};
 use hillpick::control::clock::Clock;
 use hillpick::control::config::{Config, LiveSettings};
@@ -487,18 +487,7 @@
             }
         };
         // No await from here to the send: the decision module has the settings that are in force now.
-        let current_site = self.live_settings.get();
-        if !Arc::ptr_eq(&site, &current_site) {
-            let class = site.settings.classes[new_request.class].clone();
-            new_request.policy =
-                Some(RequestPolicy { class, max_attempts: site.settings.limits.max_attempts });
-            let class = site.class_names.get(new_request.class);
-            new_request.class =
-                class.and_then(|name| current_site.class_names.position(name)).unwrap_or(usize::MAX);
-            let tenant = site.tenant_names.get(new_request.tenant);
-            new_request.tenant =
-                tenant.map_or(0, |name| current_site.tenant_names.position(name).unwrap_or(usize::MAX));
-        }
+        self.carry_over_settings(&site, &mut new_request);
         let client = Rc::new(ClientPresence::new(new_request.id, liveness, disconnect_permit));
         forward.client = client.clone();
         let disconnect_guard = DisconnectGuard(client.clone());
@@ -508,19 +497,14 @@
             forward,
             reply,
         })));
-        // The chunk that made the body too long to buffer may also be its last: its time starts now.
-        progress.iter().filter(|_| arrived).for_each(|progress| progress.record_received(Instant::now()));
-        let watch = async {
-            if let Some(progress) = progress {
-                arrival::watch(&progress, &client).await;
-            }
-            client.disconnected().await;
-            pending::<Infallible>().await
-        };
+        // The chunk that made the body too long to buffer may also be its last.
+        if let Some(progress) = progress.as_ref().filter(|_| arrived) {
+            progress.record_received(self.clock.instant(received_at));
+        }
         let answer = tokio::select! {
             biased;
             answer = answer => answer,
-            never = watch => match never {},
+            never = watch_client(&client, progress.as_deref()) => match never {},
         };
         let answer = match (answer, disconnect_guard.0.finish()) {
             (Ok(answer), _) => answer,
@@ -536,22 +520,23 @@
                 }
             });
         }
-        Ok(Some(match answer {
-            Answer::Served(body) => plain_response(StatusCode::OK, body),
-            Answer::Streamed(length, chunks) => {
-                Response::new(Either::Right(Download { chunks, length, guard: None }))
-            }
-            Answer::Refused(retry_after) => {
-                let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
-                let retry_after = retry_after.map(|retry_after| format!("{:.3}", retry_after.as_secs_f64()));
-                if let Some(Ok(retry_after)) = retry_after.map(HeaderValue::try_from) {
-                    response.headers_mut().insert(RETRY_AFTER, retry_after);
-                }
-                response
-            }
-            Answer::Failed => plain_response(StatusCode::BAD_GATEWAY, Bytes::new()),
-            Answer::TimedOut => plain_response(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
-        }))
+        Ok(Some(client_response(answer)))
+    }
+
+    /// If the settings have changed since the request began, it keeps the policy that it began under, and its
+    /// class and tenant are found by name in the present settings.
+    fn carry_over_settings(&self, site: &Arc<SiteSettings>, request: &mut NewRequest) {
+        let current_site = self.live_settings.get();
+        if Arc::ptr_eq(site, &current_site) {
+            return;
+        }
+        let class = site.settings.classes[request.class].clone();
+        request.policy = Some(RequestPolicy { class, max_attempts: site.settings.limits.max_attempts });
+        let class = site.class_names.get(request.class);
+        request.class = class.and_then(|name| current_site.class_names.position(name)).unwrap_or(usize::MAX);
+        let tenant = site.tenant_names.get(request.tenant);
+        request.tenant =
+            tenant.map_or(0, |name| current_site.tenant_names.position(name).unwrap_or(usize::MAX));
     }
 
     /// Validates a request's head. A request that breaks the protocol never reaches a backend.
@@ -668,6 +653,16 @@
     }
 }
 
+/// Watches what the runtime does not see while a request is in progress: when the last byte of a streamed body
+/// arrives, and that the client disconnects behind unread bytes. Tells the node of both.
+async fn watch_client(client: &ClientPresence, upload: Option<&UploadProgress>) -> Infallible {
+    if let Some(progress) = upload {
+        arrival::watch(progress, client).await;
+    }
+    client.disconnected().await;
+    pending().await
+}
+
 /// Reports the disconnect of a client: it drops the future that serves the request, and this guard with it.
 struct DisconnectGuard(Rc<ClientPresence>);
 
@@ -715,6 +710,26 @@
     })
 }
 
+/// The response that gives the client this answer.
+fn client_response(answer: Answer) -> ClientResponse {
+    match answer {
+        Answer::Served(body) => plain_response(StatusCode::OK, body),
+        Answer::Streamed(length, chunks) => {
+            Response::new(Either::Right(Download { chunks, length, guard: None }))
+        }
+        Answer::Refused(retry_after) => {
+            let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            let retry_after = retry_after.map(|retry_after| format!("{:.3}", retry_after.as_secs_f64()));
+            if let Some(Ok(retry_after)) = retry_after.map(HeaderValue::try_from) {
+                response.headers_mut().insert(RETRY_AFTER, retry_after);
+            }
+            response
+        }
+        Answer::Failed => plain_response(StatusCode::BAD_GATEWAY, Bytes::new()),
+        Answer::TimedOut => plain_response(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
+    }
+}
+
 fn plain_response(status: StatusCode, body: Bytes) -> ClientResponse {
     let mut response = Response::new(Either::Left(Full::new(body)));
     *response.status_mut() = status;
