Failing tests: crowds take a node past the memory limit of its settings

Crowds of 160 and 640 clients at 256 and 1,024 descriptors and 32 MB, against backends that hang, read, or answer slowly.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -5,6 +5,7 @@
 mod harness;
 mod lists;
 mod members;
+mod memory_limit;
 mod node_zones;
 mod operations;
 mod races;
