Reserve memory for every buffer that grows with the clients

Seen: crowds of slow clients took a process to more than twice its memory limit, and it was killed. 640 clients at 32 MB and 1,024 descriptors: 66 to 74 MB with uploads that stop half way, 39 MB with long heads, 48 MB with answers that are not read.

Cause: only request bodies of 8 to 64 KiB were counted, by a semaphore, and half of what they took (buffers grew by doubling). Not counted: hyper's read buffers (8 to 32 KiB a connection, and each chunk of a streamed body held one of these), its write queues (32 KiB and a chunk), the head of a request for as long as the request (its id, key and path shared the read buffer; the whole header map while the body came), the first 64 KiB of each streamed upload, and all buffered answers, also while their client read nothing.

Change: a memory budget, what the settings' limit leaves when each connection's own cost is set aside, a quarter of the limit at most. Every request in progress, buffered body, buffered answer and head over 8 KiB reserves its part and holds it until the last byte is written. Messages that still arrive get half of it, so that senders which stop leave room for whole requests. A request that gets none waits for a quarter of its time at most and is refused with 503; a log line a second says how many. An answer without memory is streamed. Connections read 8 KiB at a time, and a streamed body's next chunk is taken when the one before has been written. Heads are copied field by field. A long upload of known length streams from 2 KiB on. Two processes of a hot restart share the budget. Where memory does not suffice for the connections that the descriptors allow, there are fewer.

--- a/src/bin/sillward/arrival/tests.rs
+++ b/src/bin/sillward/arrival/tests.rs
@@ -5,7 +5,6 @@
 use crate::messages::Message;
 use crate::upload::Upload;
 use crate::upload::tests::{ClientBody, idle_budget, incoming, next_chunk};
-use bytes::Bytes;
 use hillpick::RequestId;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -35,7 +34,7 @@
         let received_at = Rc::<Cell<Option<Instant>>>::default();
         let told = received_at.clone();
         let on_received = Box::new(move |at| told.set(Some(at)));
-        let (upload, _unread) = Upload::new((Bytes::new(), None), body, idle_budget(), on_received);
+        let (upload, _unread) = Upload::new([], body, idle_budget(), on_received);
         let (sender, messages) = mpsc::channel(1);
         let queue_slot = sender.reserve_owned().await.expect("a slot");
         let presence = ClientPresence::new(RequestId(1), liveness, queue_slot);
--- a/src/bin/sillward/backend/tests.rs
+++ b/src/bin/sillward/backend/tests.rs
@@ -3,12 +3,18 @@
 
 use super::*;
 use crate::backend_stream::MIN_QUARANTINE;
-use crate::messages::{ForwardedRequest, RequestBody};
+use crate::body::MAX_BUFFERED_BYTES;
+use crate::messages::{Attempt, ForwardedRequest, RequestBody};
 use crate::upload::tests::upload;
+use bytes::Bytes;
+use hillpick::LoadReport;
 use hillpick::RequestId;
 use hillpick::ServerEntry;
+use hyper::Method;
+use hyper::header::HeaderValue;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
 const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
@@ -33,6 +39,7 @@
             &config,
             LiveSettings::new(config.site.clone()),
             Rc::default(),
+            MemoryBudget::new(config.buffer_bytes),
         );
         let entry = ServerEntry { id: SERVER, state: ServerState::Ready, ..ServerEntry::default() };
         let backend = Backend { entry, address: listener.local_addr().expect("its address") };
@@ -50,7 +57,6 @@
         call_id: HeaderValue::from_static(id),
         idempotency_key: None,
         body: RequestBody::Buffered(Bytes::new()),
-        buffer_permit: None,
         budget: MINUTE,
         deadline: Cell::new(now + MINUTE),
         dedup_window: Some(MINUTE),
--- a/src/bin/sillward/backend_stream.rs
+++ b/src/bin/sillward/backend_stream.rs
@@ -8,6 +8,8 @@
 //! for a while after each response before they are reused. `docs/restarts.md` has the alternatives that were
 //! considered.
 
+use crate::read_chunk::poll_read_chunk;
+use crate::write_backlog::WriteBacklog;
 use hillpick::ServerId;
 use hillpick::control::log::log;
 use rustix::io::Errno;
@@ -72,6 +74,8 @@
     unwritten: Cell<bool>,
     /// When the last response was complete, if there was one.
     last_response_at: Cell<Option<Instant>>,
+    /// What a streamed request body has given the connection to write.
+    pub write_backlog: Rc<WriteBacklog>,
 }
 
 impl ExchangeState {
@@ -82,6 +86,7 @@
             in_exchange: Cell::new(false),
             unwritten: Cell::new(true),
             last_response_at: Cell::new(None),
+            write_backlog: Rc::default(),
         })
     }
 
@@ -89,6 +94,7 @@
     pub fn begin(&self) {
         self.in_exchange.set(true);
         self.unwritten.set(true);
+        self.write_backlog.reset();
     }
 
     /// Ends an exchange: the response is complete, or the request was never handed over.
@@ -158,6 +164,7 @@
     fn record_written(&self, written: usize) -> Poll<io::Result<usize>> {
         if written > 0 {
             self.exchange.unwritten.set(false);
+            self.exchange.write_backlog.record_written(written);
         }
         Poll::Ready(Ok(written))
     }
@@ -169,9 +176,8 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        if buffer.filled().len() > before && self.exchange.expects_no_response() {
+        let read = ready!(poll_read_chunk(&mut self.stream, cx, buffer))?;
+        if read > 0 && self.exchange.expects_no_response() {
             self.exchange.record_unsolicited();
         }
         Poll::Ready(Ok(()))
--- a/src/bin/sillward/body.rs
+++ b/src/bin/sillward/body.rs
@@ -2,10 +2,12 @@
 //! slow reader slows the writer down, and only the chunks in transit are held in memory. [`Upload`] is a
 //! request body, [`Download`] a response body.
 
+use crate::write_backlog::WriteBacklog;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::fmt;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -77,12 +79,15 @@
     End,
 }
 
-/// A streamed response on its way to the client, with a guard that is dropped together with it.
+/// A streamed response on its way to the client, with a guard that is dropped together with it. The client's
+/// connection gets the next chunk once it has written the one before.
 pub struct Download<T> {
     /// The body.
     pub chunks: mpsc::Receiver<BodyChunk>,
     /// The number of bytes still to come, where it is known.
     pub length: Option<u64>,
+    /// What the client's connection has not written yet.
+    pub write_backlog: Rc<WriteBacklog>,
     /// Dropped with the response.
     pub guard: T,
 }
@@ -95,8 +100,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        ready!(self.write_backlog.poll_written(cx));
         Poll::Ready(match ready!(self.chunks.poll_recv(cx)) {
             Some(BodyChunk::Data(data)) => {
+                self.write_backlog.add(data.len());
                 self.length = self.length.map(|length| length.saturating_sub(data.len() as u64));
                 Some(Ok(Frame::data(data)))
             }
--- a/src/bin/sillward/client.rs
+++ b/src/bin/sillward/client.rs
@@ -2,7 +2,10 @@
 
 use crate::body::{IDLE_TIMEOUT, STALL_TIMEOUT};
 use crate::liveness::Liveness;
-use std::cell::Cell;
+use crate::memory::Reservation;
+use crate::write_backlog::WriteBacklog;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -36,6 +39,14 @@
     pub close: Notify,
     /// Asks the kernel whether the client is still connected.
     pub liveness: Liveness,
+    /// What the response in progress has given the connection to write.
+    pub write_backlog: Rc<WriteBacklog>,
+    /// The bytes that were read since the last request: those of the next one's head.
+    pub head_bytes: Cell<usize>,
+    /// The memory of a long head. hyper keeps the larger buffer as long as the connection.
+    pub head_memory: RefCell<Option<Reservation>>,
+    /// The memory of the request in progress. It is held until the response has been written.
+    pub exchange_memory: RefCell<Option<Rc<Reservation>>>,
 }
 
 /// What a connection's timeouts require now.
@@ -73,12 +84,42 @@
             shed: Cell::new(false),
             close: Notify::new(),
             liveness,
+            write_backlog: Rc::default(),
+            head_bytes: Cell::new(0),
+            head_memory: RefCell::default(),
+            exchange_memory: RefCell::default(),
+        }
+    }
+
+    /// A request has been received: it is in progress from now on. Whether it is the connection's first.
+    pub fn begin_request(&self) -> bool {
+        self.idle_since.set(None);
+        self.next_begun.set(None);
+        self.streaming.set(false);
+        self.head_bytes.set(0);
+        self.write_backlog.reset();
+        self.head_memory.borrow().iter().for_each(Reservation::set_arrived);
+        !self.had_request.replace(true)
+    }
+
+    /// Whether the next bytes are those of a head, not of a body.
+    pub fn expects_head(&self) -> bool {
+        self.idle_since.get().is_some()
+    }
+
+    /// All that was given to the connection has been written.
+    pub fn record_flushed(&self) {
+        if self.idle_since.get().is_some() {
+            self.exchange_memory.take();
         }
     }
 
     /// Bytes were received: the first ones after a response begin another request.
-    pub fn record_read(&self) {
+    pub fn record_read(&self, bytes: usize) {
         let now = Instant::now();
+        if self.expects_head() {
+            self.head_bytes.set(self.head_bytes.get() + bytes);
+        }
         self.last_activity.set(now);
         if self.idle_since.get().is_some() && self.next_begun.get().is_none() {
             self.next_begun.set(Some(now));
@@ -86,7 +127,8 @@
     }
 
     /// Bytes were sent.
-    pub fn record_write(&self) {
+    pub fn record_write(&self, bytes: usize) {
+        self.write_backlog.record_written(bytes);
         self.last_activity.set(Instant::now());
     }
 
--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -2,28 +2,30 @@
 //! responses.
 
 use crate::arrival;
-use crate::body::{Download, IdleBudget, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, STALL_TIMEOUT};
+use crate::body::{Download, IdleBudget, STALL_TIMEOUT};
 use crate::client::{Client, CloseMode, READ_BUFFER_BYTES, READ_TIMEOUT, TimeoutAction};
 use crate::client_stream::ClientStream;
 use crate::handover::HotRestart;
 use crate::lifecycle::{DRAIN_ACCEPT_PERIOD, FINAL_REQUEST_GRACE, Lifecycle, Phase, ProcessState};
 use crate::liveness::{Liveness, PeerState, peer_state};
-use crate::messages::{AcceptedRequest, Answer, ClientPresence, ForwardedRequest, Message, RequestBody};
+use crate::memory::{EXCHANGE_BYTES, MemoryBudget, Reservation};
+use crate::messages::{AcceptedRequest, Answer, ClientPresence, Message, RequestBody};
+use crate::request_body::{BodyReader, MEMORY_WAIT_DIVISOR, OUT_OF_MEMORY, ReadBody, discard, discard_later};
+use crate::request_head::{Rejection, RequestHead};
 use crate::upload::{Upload, UploadProgress};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hillpick::control::clock::Clock;
 use hillpick::control::config::{Config, LiveSettings};
 use hillpick::control::log::log;
 use hillpick::control::tcp;
 use hillpick::settings::SiteSettings;
-use hillpick::{NewRequest, RequestId, RequestPolicy, RetrySafety};
-use http_body_util::{BodyExt, Either, Full};
+use hillpick::{NewRequest, RequestId, RequestPolicy};
+use http_body_util::{Either, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER};
-use hyper::http::request::Parts;
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use rustix::net::{Shutdown, shutdown};
 use std::cell::{Cell, RefCell};
@@ -31,16 +33,15 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::future::{Future, pending, poll_fn};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// Deadline of a request whose streamed body is still arriving: none in effect, as an idle sender ends it
 /// earlier.
@@ -53,12 +54,10 @@
 /// How often a process that starts beside another checks whether it holds a server list and can accept
 /// clients.
 const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// Bodies up to this length need no reserved buffer memory: a connection's buffers hold as much anyway.
-const UNRESERVED_BODY_BYTES: usize = 8 * 1024;
-/// Largest `X-Budget-Ms` that is accepted.
-const MAX_BUDGET_MS: u64 = 600_000;
-/// Longest `X-Call-Id` that is accepted.
-const MAX_CALL_ID_BYTES: usize = 256;
+/// The path of the readiness check.
+const READINESS_PATH: &str = "/health/ready";
+/// The least time between two lines of the log on refusals for lack of memory.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Keeps a connection from counting as idle while a request on it is in progress.
 struct InProgress(Rc<Client>, Rc<Frontend>);
@@ -93,8 +92,12 @@
     last_id: Cell<u64>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     max_clients: usize,
-    /// Memory for buffered bodies, a permit per KiB. A body that gets none is not read until it does.
-    buffer_memory: Arc<Semaphore>,
+    /// The memory for buffers, and how much of it a process has that is alone.
+    memory: Arc<MemoryBudget>,
+    memory_limit: usize,
+    /// Requests that were refused for lack of memory and stand in no line of the log yet, and when the last line
+    /// was written.
+    unlogged_refusals: Cell<(usize, Option<Instant>)>,
     /// A connection that has been accepted and waits for a free slot. It is kept here so that a cancelled
     /// accept does not drop it: it may carry a request.
     pending_accept: RefCell<Option<TcpStream>>,
@@ -102,14 +105,6 @@
     slot_freed: Notify,
 }
 
-/// The buffered part of a body, the unread rest if it is to be streamed, and the memory reserved for the
-/// first.
-type ReadBody = (Bytes, Option<Incoming>, Option<OwnedSemaphorePermit>);
-
-/// The response to a request that is not accepted: a 4xx, which promises nothing, or a 503 for a request that
-/// was still incomplete when the process was about to end.
-type Rejection = (StatusCode, &'static str);
-
 impl Frontend {
     /// A frontend that has no connections yet.
     pub fn new(
@@ -117,6 +112,7 @@
         config: &Config,
         live_settings: LiveSettings,
         messages: mpsc::Sender<Message>,
+        memory: Arc<MemoryBudget>,
         node: NodeState,
     ) -> Rc<Self> {
         Rc::new(Frontend {
@@ -127,7 +123,9 @@
             last_id: Cell::new(0),
             clients: RefCell::default(),
             max_clients: config.max_client_connections,
-            buffer_memory: Arc::new(Semaphore::new(config.body_buffer_kib)),
+            memory,
+            memory_limit: config.buffer_bytes,
+            unlogged_refusals: Cell::default(),
             pending_accept: RefCell::default(),
             slot_freed: Notify::new(),
         })
@@ -136,7 +134,7 @@
     /// Serves clients until the node terminates, then shuts down gracefully.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         spawn_local(self.clone().close_idle_when_draining());
-        spawn_local(self.clone().enforce_connection_share());
+        spawn_local(self.clone().enforce_share());
         spawn_local(self.clone().enforce_body_deadline());
         let mut phase = self.node.lifecycle.watch();
         tokio::select! {
@@ -209,11 +207,12 @@
         }
     }
 
-    /// During a hot restart each of the two processes has half of the connections: sheds idle ones beyond
-    /// that half.
-    async fn enforce_connection_share(self: Rc<Self>) {
+    /// During a hot restart each of the two processes has half of the connections and of the memory: sheds
+    /// idle connections beyond that half.
+    async fn enforce_share(self: Rc<Self>) {
         let mut changes = self.node.hot_restart.changes();
         loop {
+            self.memory.set_limit(self.node.hot_restart.share_of_memory(self.memory_limit));
             changes.next().await;
             let share = self.node.hot_restart.share_of_limit(self.max_clients);
             let excess = self.clients.borrow().len().saturating_sub(share);
@@ -317,7 +316,7 @@
     /// written, false if the connection timed out or is to be closed at once.
     async fn serve_connection(self: Rc<Self>, stream: &Rc<RefCell<TcpStream>>, client: &Rc<Client>) -> bool {
         let service = service_fn(|request| self.clone().respond(client.clone(), request));
-        let stream = TokioIo::new(ClientStream::new(stream.clone(), client.clone()));
+        let stream = TokioIo::new(ClientStream::new(stream.clone(), client.clone(), self.memory.clone()));
         let mut server = http1::Builder::new();
         let connection = server.max_buf_size(READ_BUFFER_BYTES).serve_connection(stream, service);
         let mut connection = std::pin::pin!(connection);
@@ -405,26 +404,25 @@
         client: Rc<Client>,
         request: Request<Incoming>,
     ) -> Result<ClientResponse, ClientDisconnected> {
-        client.idle_since.set(None);
-        client.next_begun.set(None);
-        client.streaming.set(false);
-        let first = !client.had_request.replace(true);
+        let first = client.begin_request();
         let since = if first { client.connected } else { Instant::now() };
-        let liveness = client.liveness.clone();
-        let mut in_progress = Some(InProgress(client, self.clone()));
-        let handled = self.handle(request, IdleBudget::until(since + READ_TIMEOUT), liveness).await;
+        let mut in_progress = Some(InProgress(client.clone(), self.clone()));
+        // Boxed, so that a connection without a request is small.
+        let handled = Box::pin(self.handle(request, IdleBudget::until(since + READ_TIMEOUT), &client)).await;
         let mut response = match handled {
             Ok(response) => response.ok_or(ClientDisconnected)?,
             Err((status, text)) => plain_response(status, Bytes::from_static(text.as_bytes())),
         };
         if let Either::Right(download) = response.body_mut() {
-            in_progress.iter().for_each(|InProgress(client, _)| client.streaming.set(true));
+            client.streaming.set(true);
             download.guard = in_progress.take();
         }
+        // The buffer of a long head is kept as long as the connection.
+        let holds_scarce_memory = client.head_memory.borrow().is_some() && self.memory.is_short();
         // A connection with a request in progress could not be shed when a sibling process took half of the
         // slots.
         let over_share = self.clients.borrow().len() > self.node.hot_restart.share_of_limit(self.max_clients);
-        if self.node.lifecycle.now().is_draining() || over_share {
+        if self.node.lifecycle.now().is_draining() || over_share || holds_scarce_memory {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -434,29 +432,39 @@
     async fn handle(
         &self,
         request: Request<Incoming>,
-        mut idle_budget: IdleBudget,
-        liveness: Liveness,
+        idle_budget: IdleBudget,
+        client_connection: &Client,
     ) -> Result<Option<ClientResponse>, Rejection> {
         let (head, body) = request.into_parts();
         // The settings may change while the body arrives: the request goes by those in force when it began.
         let site = self.live_settings.get();
-        let (body, rest, buffer_permit) = self.read_body(body, &mut idle_budget).await?;
-        let received_at = self.clock.now();
-        if head.uri.path() == "/health/ready" {
-            let ready = self.node.ready.get() && !self.node.lifecycle.now().is_draining();
-            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            return Ok(Some(plain_response(status, Bytes::new())));
+        if head.uri.path() == READINESS_PATH {
+            discard_later(body);
+            return Ok(Some(self.readiness()));
         }
-        let validated = self.validate(&site, head, body.is_empty() && rest.is_none(), received_at);
-        let (mut new_request, mut forward) = match validated {
-            Ok(validated) => validated,
-            Err(rejection) => {
-                if let Some(rest) = rest {
-                    spawn_local(discard_body(rest, idle_budget));
-                }
-                return Err(rejection);
-            }
+        let parsed = RequestHead::parse(&site, &head);
+        drop(head);
+        let budget = parsed.as_ref().map_or(Duration::ZERO, |head| head.budget);
+        let mut reader = BodyReader {
+            idle_budget,
+            memory_wait: budget / MEMORY_WAIT_DIVISOR,
+            memory: &self.memory,
+            lifecycle: &self.node.lifecycle,
+        };
+        let head = match parsed {
+            Ok(head) => head,
+            Err(rejection) => return Err(reader.reject(body, rejection).await),
         };
+        let body = reader.read(body).await.inspect_err(|rejection| self.log_refusal(rejection))?;
+        if !head.allows_body() && !body.is_empty() {
+            body.rest.into_iter().for_each(discard_later);
+            return Err((StatusCode::BAD_REQUEST, "a body where none belongs"));
+        }
+        let (body, exchange_memory) = self.reserve_exchange(body, &mut reader).await?;
+        client_connection.exchange_memory.replace(Some(exchange_memory.clone()));
+        let idle_budget = reader.idle_budget;
+        let received_at = self.clock.now().saturating_sub(body.received_at.elapsed());
+        let (mut new_request, mut forward) = head.into_request(RequestId(self.next_id()), received_at);
         let (reply, answer) = oneshot::channel();
         // Queue slots for the later messages are reserved now: neither a drop nor a body's last byte can wait
         // for one.
@@ -467,20 +475,18 @@
             return Ok(Some(plain_response(StatusCode::BAD_GATEWAY, Bytes::new())));
         };
         let (mut unread, mut progress) = (None, None);
-        let arrived = rest.as_ref().is_some_and(Incoming::is_end_stream);
-        forward.body = match rest {
-            None => {
-                forward.buffer_permit = buffer_permit;
-                RequestBody::Buffered(body)
-            }
+        let arrived = body.rest.as_ref().is_some_and(Incoming::is_end_stream);
+        forward.body = match body.rest {
+            None => RequestBody::Buffered(body.read.into_iter().next().unwrap_or_default()),
             Some(rest) => {
                 (new_request.body_streaming, forward.deadline) =
                     (true, Cell::new(received_at + UPLOAD_DEADLINE));
                 let id = new_request.id;
-                let on_received =
-                    Box::new(move |at| drop(body_permit.send(Message::BodyReceived { id, at })));
-                let (upload, unread_rest) =
-                    Upload::new((body, buffer_permit), rest, idle_budget, on_received);
+                let on_received = Box::new(move |at| {
+                    exchange_memory.set_arrived();
+                    body_permit.send(Message::BodyReceived { id, at });
+                });
+                let (upload, unread_rest) = Upload::new(body.read, rest, idle_budget, on_received);
                 progress = Some(upload.progress().clone());
                 unread = Some(unread_rest);
                 RequestBody::streamed(upload)
@@ -488,6 +494,7 @@
         };
         // No await from here to the send: the decision module has the settings that are in force now.
         self.carry_over_settings(&site, &mut new_request);
+        let liveness = client_connection.liveness.clone();
         let client = Rc::new(ClientPresence::new(new_request.id, liveness, disconnect_permit));
         forward.client = client.clone();
         let disconnect_guard = DisconnectGuard(client.clone());
@@ -516,11 +523,57 @@
             // response.
             spawn_local(async move {
                 if let Ok((rest, idle_budget)) = unread.await {
-                    discard_body(rest, idle_budget).await;
+                    discard(rest, idle_budget).await;
                 }
             });
         }
-        Ok(Some(client_response(answer)))
+        Ok(Some(client_response(answer, client_connection)))
+    }
+
+    /// Reserves the memory that a request takes on its way. A whole request waits for it for a part of its
+    /// time; the time that one which is still arriving has waited is charged to its client.
+    async fn reserve_exchange(
+        &self,
+        body: ReadBody,
+        reader: &mut BodyReader<'_>,
+    ) -> Result<(ReadBody, Rc<Reservation>), Rejection> {
+        let reserved = match &body.rest {
+            None => {
+                let wait_until = body.received_at + reader.memory_wait;
+                let reserved = timeout_at(wait_until, self.memory.reserve(EXCHANGE_BYTES)).await;
+                reserved.map_err(|_| OUT_OF_MEMORY)
+            }
+            Some(_) => reader.wait(self.memory.reserve_arriving(EXCHANGE_BYTES)).await,
+        };
+        match reserved {
+            Ok(reservation) => Ok((body, Rc::new(reservation))),
+            Err(rejection) => {
+                body.rest.into_iter().for_each(discard_later);
+                self.log_refusal(&rejection);
+                Err(rejection)
+            }
+        }
+    }
+
+    /// Logs refusals for lack of memory, at most one line in each interval.
+    fn log_refusal(&self, rejection: &Rejection) {
+        if *rejection != OUT_OF_MEMORY {
+            return;
+        }
+        let (count, logged_at) = self.unlogged_refusals.get();
+        let count = count + 1;
+        if logged_at.is_some_and(|at| at.elapsed() < REFUSAL_LOG_INTERVAL) {
+            return self.unlogged_refusals.set((count, logged_at));
+        }
+        self.unlogged_refusals.set((0, Some(Instant::now())));
+        let (reserved, limit) = (self.memory.reserved(), self.memory.limit());
+        log(format_args!("refused {count} requests: {reserved} of {limit} bytes for buffers are in use"));
+    }
+
+    /// The response to a readiness check.
+    fn readiness(&self) -> ClientResponse {
+        let ready = self.node.ready.get() && !self.node.lifecycle.now().is_draining();
+        plain_response(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, Bytes::new())
     }
 
     /// If the settings have changed since the request began, it keeps the policy that it began under, and its
@@ -538,119 +591,6 @@
         request.tenant =
             tenant.map_or(0, |name| current_site.tenant_names.position(name).unwrap_or(usize::MAX));
     }
-
-    /// Validates a request's head. A request that breaks the protocol never reaches a backend.
-    fn validate(
-        &self,
-        site: &SiteSettings,
-        head: Parts,
-        body_is_empty: bool,
-        received_at: Duration,
-    ) -> Result<(NewRequest, ForwardedRequest), Rejection> {
-        const BAD_REQUEST: StatusCode = StatusCode::BAD_REQUEST;
-        let path = head.uri.path_and_query().ok_or((BAD_REQUEST, "no path"))?.clone();
-        let mut parts = path.path().strip_prefix('/').ok_or((BAD_REQUEST, "no path"))?.split('/');
-        let name = parts.next().unwrap_or_default();
-        let class = site.class_names.position(name);
-        let class = class.ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
-        let key = parts.next_back().filter(|key| !key.is_empty()).map_or(0, request_key);
-        let class_settings = &site.settings.classes[class];
-
-        let idempotency_key = head.headers.get("idempotency-key").cloned();
-        let method =
-            if class_settings.retry_safety == RetrySafety::Idempotent { Method::GET } else { Method::POST };
-        if head.method != method {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method for this class"));
-        }
-        if method == Method::GET && !body_is_empty {
-            return Err((BAD_REQUEST, "a body where none belongs"));
-        }
-        let dedup_window = match class_settings.retry_safety {
-            RetrySafety::Keyed { window, .. } if idempotency_key.is_some() => Some(window),
-            RetrySafety::Keyed { .. } => return Err((BAD_REQUEST, "no Idempotency-Key")),
-            _ => None,
-        };
-        let call_id = head.headers.get("x-call-id").filter(|id| (1..=MAX_CALL_ID_BYTES).contains(&id.len()));
-        let call_id = call_id.ok_or((BAD_REQUEST, "no X-Call-Id"))?.clone();
-        let budget = header_text(&head.headers, "x-budget-ms").and_then(|text| text.parse::<u64>().ok());
-        let budget = budget.filter(|ms| (1..=MAX_BUDGET_MS).contains(ms));
-        let remaining =
-            Duration::from_millis(budget.ok_or((BAD_REQUEST, "no X-Budget-Ms that makes sense"))?);
-        let caller = header_text(&head.headers, "x-caller");
-        let tenant = caller.and_then(|caller| site.tenant_names.position(caller));
-        if tenant.is_none() && !site.tenant_names.is_empty() {
-            return Err((StatusCode::FORBIDDEN, "unknown tenant"));
-        }
-        let cost = header_text(&head.headers, "x-call-cost").and_then(|text| text.parse().ok());
-        let new_request = NewRequest {
-            id: RequestId(self.next_id()),
-            class,
-            policy: None,
-            body_streaming: false,
-            tenant: tenant.unwrap_or_default(),
-            key,
-            remaining,
-            cost: cost.map(Duration::from_micros),
-            client_retry: head.headers.get("x-again").is_some_and(|value| value == "1"),
-        };
-        let forward = ForwardedRequest {
-            method,
-            path,
-            call_id,
-            idempotency_key,
-            body: RequestBody::Buffered(Bytes::new()),
-            budget: remaining,
-            deadline: Cell::new(received_at + remaining),
-            dedup_window,
-            buffer_permit: None,
-            first_byte_at: Cell::new(None),
-            finished: Cell::new(false),
-            client: Rc::default(),
-        };
-        Ok((new_request, forward))
-    }
-
-    /// Reads a body as far as it is buffered. A longer one is returned with its unread rest, to be streamed.
-    async fn read_body(
-        &self,
-        mut body: Incoming,
-        idle_budget: &mut IdleBudget,
-    ) -> Result<ReadBody, Rejection> {
-        let (mut buffered, mut buffer_permit) = (BytesMut::new(), None);
-        if body.size_hint().lower() > MAX_BODY_BYTES {
-            spawn_local(discard_body(body, IdleBudget::until(Instant::now() + READ_TIMEOUT)));
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 32 MiB"));
-        }
-        loop {
-            let waited_since = Instant::now();
-            let frame = tokio::select! {
-                biased;
-                frame = timeout(idle_budget.remaining(), body.frame()) => frame,
-                () = self.node.lifecycle.body_deadline() => {
-                    spawn_local(discard_body(body, IdleBudget::until(Instant::now() + READ_TIMEOUT)));
-                    return Err((StatusCode::SERVICE_UNAVAILABLE, "terminating"));
-                }
-            };
-            let frame = match frame.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "too slow"))? {
-                Some(frame) => frame.map_err(|_| (StatusCode::BAD_REQUEST, "broken body"))?,
-                None => return Ok((buffered.freeze(), None, buffer_permit)),
-            };
-            let data = frame.into_data().unwrap_or_default();
-            idle_budget.record(waited_since.elapsed(), data.len());
-            buffered.extend_from_slice(&data);
-            if buffered.len() > MAX_BUFFERED_BYTES {
-                return Ok((buffered.freeze(), Some(body), buffer_permit));
-            }
-            if buffered.len() > UNRESERVED_BODY_BYTES && buffer_permit.is_none() {
-                buffer_permit = self
-                    .buffer_memory
-                    .clone()
-                    .acquire_many_owned((MAX_BUFFERED_BYTES / 1024) as u32)
-                    .await
-                    .ok();
-            }
-        }
-    }
 }
 
 /// Watches what the runtime does not see while a request is in progress: when the last byte of a streamed body
@@ -684,38 +624,13 @@
 
 impl std::error::Error for ClientDisconnected {}
 
-/// Reads a body to its end, up to the longest allowed, and discards it, so that its sender sees the response
-/// instead of a reset.
-async fn discard_body(mut body: Incoming, mut idle_budget: IdleBudget) {
-    let mut length = 0;
-    while length <= MAX_BODY_BYTES {
-        let waited_since = Instant::now();
-        let Ok(Some(Ok(frame))) = timeout(idle_budget.remaining(), body.frame()).await else { return };
-        let data = frame.into_data().unwrap_or_default();
-        idle_budget.record(waited_since.elapsed(), data.len());
-        length += data.len() as u64;
-    }
-}
-
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
-/// The key of a request as the decision module's number. The same text gives the same number at every node.
-fn request_key(text: &str) -> u64 {
-    u64::from_str_radix(text, 16).unwrap_or_else(|_| {
-        let mut hasher = DefaultHasher::new();
-        text.hash(&mut hasher);
-        hasher.finish()
-    })
-}
-
 /// The response that gives the client this answer.
-fn client_response(answer: Answer) -> ClientResponse {
+fn client_response(answer: Answer, client: &Client) -> ClientResponse {
     match answer {
         Answer::Served(body) => plain_response(StatusCode::OK, body),
         Answer::Streamed(length, chunks) => {
-            Response::new(Either::Right(Download { chunks, length, guard: None }))
+            let write_backlog = client.write_backlog.clone();
+            Response::new(Either::Right(Download { chunks, length, write_backlog, guard: None }))
         }
         Answer::Refused(retry_after) => {
             let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
--- a/src/bin/sillward/frontend/disconnects.rs
+++ b/src/bin/sillward/frontend/disconnects.rs
@@ -51,7 +51,9 @@
         let (to_node, inbox) = mpsc::channel(4096);
         let (commands, mut received_commands) = mpsc::channel(16);
         spawn_local(async move { while received_commands.recv().await.is_some() {} });
-        let pool = ConnectionPool::start(clock, &config, live_settings.clone(), Rc::default());
+        let memory = MemoryBudget::new(config.buffer_bytes);
+        let pool =
+            ConnectionPool::start(clock, &config, live_settings.clone(), Rc::default(), memory.clone());
         spawn_local(crate::node::Node::new(clock, &config, pool, to_node.clone(), commands).run(inbox));
         let (disconnects, hold_disconnects) = (Rc::<Cell<usize>>::default(), Rc::<Cell<bool>>::default());
         let (counter, hold_flag) = (disconnects.clone(), hold_disconnects.clone());
@@ -90,7 +92,7 @@
             lifecycle: Rc::new(Lifecycle::new()),
             hot_restart: Rc::default(),
         };
-        let frontend = Frontend::new(clock, &config, live_settings, messages.clone(), node);
+        let frontend = Frontend::new(clock, &config, live_settings, messages.clone(), memory, node);
         let list_update = ListUpdate { kind: ListKind::Full, backends };
         messages.send(Message::List(list_update)).await.unwrap_or_else(|_| panic!("the node runs"));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/src/bin/sillward/frontend/tests.rs
+++ b/src/bin/sillward/frontend/tests.rs
@@ -14,7 +14,8 @@
     let node =
         NodeState { ready: Rc::default(), lifecycle: Rc::new(Lifecycle::new()), hot_restart: Rc::default() };
     let live_settings = LiveSettings::new(config.site.clone());
-    (Frontend::new(Clock::start(), &config, live_settings, messages, node), inbox)
+    let memory = MemoryBudget::new(config.buffer_bytes);
+    (Frontend::new(Clock::start(), &config, live_settings, messages, memory, node), inbox)
 }
 
 /// Answers each request with its id after `delay`, the request `first` at once. Returns the ids as they
@@ -68,7 +69,7 @@
     let waits = |c: &Client| matches!(c.check_timeout(), TimeoutAction::Recheck(at) if at > Instant::now());
     // The first head is timed from the connect.
     advance(2000).await;
-    client.record_read();
+    client.record_read(1);
     assert!(waits(&client));
     advance(500).await;
     assert!(matches!(client.check_timeout(), TimeoutAction::CloseNow));
@@ -78,10 +79,10 @@
     assert!(waits(&client), "a request is in progress");
     client.idle_since.set(Some(Instant::now()));
     advance(2000).await;
-    client.record_read();
+    client.record_read(1);
     advance(2000).await;
     assert!(waits(&client), "4 s after the response, 2 s after the head's first byte");
-    client.record_read();
+    client.record_read(1);
     advance(500).await;
     assert!(matches!(client.check_timeout(), TimeoutAction::CloseGracefully));
     client.next_begun.set(None);
--- a/src/bin/sillward/handover/tests.rs
+++ b/src/bin/sillward/handover/tests.rs
@@ -3,6 +3,11 @@
 use super::*;
 use tokio::task::LocalSet;
 
+/// The memory for buffers that this configuration gives.
+fn memory_budget(config: &hillpick::control::config::Config) -> std::sync::Arc<crate::memory::MemoryBudget> {
+    crate::memory::MemoryBudget::new(config.buffer_bytes)
+}
+
 /// A directory for this test's Unix socket, with a path short enough for one.
 struct SocketDir(PathBuf);
 
@@ -159,7 +164,14 @@
                     hot_restart: hot_restart.clone(),
                 };
                 let clock = hillpick::control::clock::Clock::start();
-                let frontend = crate::frontend::Frontend::new(clock, &config, live_settings, messages, node);
+                let frontend = crate::frontend::Frontend::new(
+                    clock,
+                    &config,
+                    live_settings,
+                    messages,
+                    memory_budget(&config),
+                    node,
+                );
                 let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
                 let address = listener.local_addr().expect("its address");
                 let mut client = tokio::net::TcpStream::connect(address).await.expect("room in the queue");
@@ -241,6 +253,7 @@
             &config,
             live_settings,
             messages,
+            memory_budget(&config),
             node,
         );
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -293,7 +306,13 @@
         let live_settings = hillpick::control::config::LiveSettings::new(config.site.clone());
         let hot_restart = Rc::<HotRestart>::default();
         let clock = hillpick::control::clock::Clock::start();
-        let pool = crate::backend::ConnectionPool::start(clock, &config, live_settings, hot_restart.clone());
+        let pool = crate::backend::ConnectionPool::start(
+            clock,
+            &config,
+            live_settings,
+            hot_restart.clone(),
+            memory_budget(&config),
+        );
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("its address");
         let entry =
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -12,10 +12,15 @@
 mod handover;
 mod lifecycle;
 mod liveness;
+mod memory;
 mod messages;
 mod node;
 mod ops;
+mod read_chunk;
+mod request_body;
+mod request_head;
 mod upload;
+mod write_backlog;
 
 use handover::{HotRestart, Sockets};
 use hillpick::control::clock::Clock;
@@ -25,6 +30,7 @@
 use hillpick::control::peers::{MembershipDriver, membership_view::MembershipView};
 use hillpick::settings::SettingsUpdate;
 use lifecycle::{Lifecycle, ProcessState};
+use memory::MemoryBudget;
 use messages::Message;
 use std::io;
 use std::net::SocketAddr;
@@ -114,7 +120,14 @@
     let (messages, message_queue) = mpsc::channel(MESSAGE_QUEUE);
     let (commands, discovery_commands) = mpsc::channel(16);
     let live_settings = LiveSettings::new(config.site.clone());
-    let pool = backend::ConnectionPool::start(clock, &config, live_settings.clone(), hot_restart.clone());
+    let memory = MemoryBudget::new(config.buffer_bytes);
+    let pool = backend::ConnectionPool::start(
+        clock,
+        &config,
+        live_settings.clone(),
+        hot_restart.clone(),
+        memory.clone(),
+    );
     let (discovery_address, address) = watch::channel(config.discovery);
     let discovery = DiscoveryClient::new(&config, live_settings.clone(), address, messages.clone());
     let ready = discovery.ready();
@@ -132,6 +145,7 @@
         &config,
         live_settings.clone(),
         messages.clone(),
+        memory,
         frontend::NodeState { ready: ready.clone(), lifecycle: lifecycle.clone(), hot_restart },
     );
     let mut node = tokio::task::spawn_local(node.run(message_queue));
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -16,7 +16,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep};
 
 /// How often the kernel is asked whether the client of a request in progress has disconnected. Mostly the runtime
@@ -248,8 +248,6 @@
     pub idempotency_key: Option<HeaderValue>,
     /// The request's body.
     pub body: RequestBody,
-    /// The share of the buffer memory that a buffered body holds until this is dropped.
-    pub buffer_permit: Option<OwnedSemaphorePermit>,
     /// How long the client waits once its whole request has been received.
     pub budget: Duration,
     /// When the client stops waiting. Far in the future while its request body is still being received.
--- a/src/bin/sillward/node/tests.rs
+++ b/src/bin/sillward/node/tests.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::body::{BodyChunk, MAX_BUFFERED_BYTES};
+use crate::memory::MemoryBudget;
 use crate::messages::RequestBody;
 use bytes::Bytes;
 use hillpick::control::config::LiveSettings;
@@ -32,8 +33,13 @@
     LocalSet::new().block_on(&runtime, async {
         let (clock, config) = (Clock::start(), Config::parse(config).expect("a valid configuration"));
         let ((messages, inbox), (commands, _commands)) = (mpsc::channel(16), mpsc::channel(16));
-        let pool =
-            ConnectionPool::start(clock, &config, LiveSettings::new(config.site.clone()), Rc::default());
+        let pool = ConnectionPool::start(
+            clock,
+            &config,
+            LiveSettings::new(config.site.clone()),
+            Rc::default(),
+            MemoryBudget::new(config.buffer_bytes),
+        );
         test(Node::new(clock, &config, pool, messages, commands), inbox).await
     });
 }
@@ -47,7 +53,6 @@
         call_id: HeaderValue::from_static("1"),
         idempotency_key: None,
         body: RequestBody::Buffered(Bytes::new()),
-        buffer_permit: None,
         budget: remaining,
         deadline: Cell::new(at + remaining),
         dedup_window: None,
--- a/src/bin/sillward/upload.rs
+++ b/src/bin/sillward/upload.rs
@@ -3,16 +3,18 @@
 //! ([`UploadProgress`]).
 
 use crate::body::{BodyError, IdleBudget, MAX_BODY_BYTES, STALL_TIMEOUT};
+use crate::write_backlog::WriteBacklog;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 /// How often an attempt checks whether its backend still takes the body.
@@ -170,9 +172,10 @@
 
 /// A streamed request body on its way from the client. It is read once, by the attempt that holds it.
 pub struct Upload {
-    /// The part that was read before streaming began, and the buffer memory reserved for it.
-    prefix: Bytes,
-    buffer_permit: Option<OwnedSemaphorePermit>,
+    /// The part that was read before streaming began, in the order of its arrival.
+    prefix: VecDeque<Bytes>,
+    /// What the connection that the body is written to has not written yet; `None` before an attempt has it.
+    write_backlog: Option<Rc<WriteBacklog>>,
     rest: Option<Incoming>,
     idle_budget: IdleBudget,
     idle_timer: Option<(Instant, Pin<Box<Sleep>>)>,
@@ -185,17 +188,19 @@
     /// A body that begins with the buffered `prefix`, and the channel that returns what stays unread of
     /// `rest`. `on_received` runs once the last byte has arrived, see [`UploadProgress::record_received`].
     pub fn new(
-        (prefix, buffer_permit): (Bytes, Option<OwnedSemaphorePermit>),
+        prefix: impl IntoIterator<Item = Bytes>,
         rest: Incoming,
         idle_budget: IdleBudget,
         on_received: OnReceived,
     ) -> (Self, oneshot::Receiver<(Incoming, IdleBudget)>) {
         let (return_unread, unread) = oneshot::channel();
-        let length = rest.size_hint().exact().map(|rest| rest + prefix.len() as u64);
-        let progress = UploadProgress::new(length, prefix.len(), on_received);
+        let prefix: VecDeque<_> = prefix.into_iter().filter(|part| !part.is_empty()).collect();
+        let prefix_length = prefix.iter().map(Bytes::len).sum::<usize>();
+        let length = rest.size_hint().exact().map(|rest| rest + prefix_length as u64);
+        let progress = UploadProgress::new(length, prefix_length, on_received);
         let upload = Upload {
             prefix,
-            buffer_permit,
+            write_backlog: None,
             rest: Some(rest),
             idle_budget,
             idle_timer: None,
@@ -214,22 +219,37 @@
     pub fn size_hint(&self) -> SizeHint {
         let rest = self.rest.as_ref().map(Incoming::size_hint).unwrap_or_default();
         match rest.exact() {
-            Some(exact) => SizeHint::with_exact(exact + self.prefix.len() as u64),
+            Some(exact) => {
+                SizeHint::with_exact(exact + self.prefix.iter().map(|part| part.len() as u64).sum::<u64>())
+            }
             None => SizeHint::default(),
         }
     }
 
+    /// The connection that the body is written to from now on gets the next chunk once it has written the one
+    /// before.
+    pub fn set_write_backlog(&mut self, write_backlog: Rc<WriteBacklog>) {
+        self.write_backlog = Some(write_backlog);
+    }
+
+    /// Hands a chunk to the connection.
+    fn forward(&self, data: Bytes) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.write_backlog.iter().for_each(|write_backlog| write_backlog.add(data.len()));
+        self.progress.record_forwarded(data.len());
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
     /// The next chunk. Trailers are dropped: backends need none.
     pub fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(write_backlog) = &self.write_backlog {
+            ready!(write_backlog.poll_written(cx));
+        }
         self.progress.last_polled.set(Instant::now());
-        if !self.prefix.is_empty() {
-            self.buffer_permit = None;
-            let prefix = std::mem::take(&mut self.prefix);
-            self.progress.record_forwarded(prefix.len());
-            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        if let Some(part) = self.prefix.pop_front() {
+            return self.forward(part);
         }
         let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
         let polled = Pin::new(rest).poll_frame(cx);
@@ -257,8 +277,7 @@
         if self.progress.bytes_read() > MAX_BODY_BYTES {
             return Poll::Ready(Some(Err(BodyError::TooLong)));
         }
-        self.progress.record_forwarded(data.len());
-        Poll::Ready(Some(Ok(Frame::data(data))))
+        self.forward(data)
     }
 }
 
--- a/src/bin/sillward/upload/tests.rs
+++ b/src/bin/sillward/upload/tests.rs
@@ -4,6 +4,7 @@
 use crate::client::{Client, READ_BUFFER_BYTES};
 use crate::client_stream::ClientStream;
 use crate::liveness::Liveness;
+use crate::memory::MemoryBudget;
 use http_body_util::{BodyExt, Full};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -45,7 +46,7 @@
                 pending::<Result<Response<Full<Bytes>>, Infallible>>().await
             }
         });
-        let stream = TokioIo::new(ClientStream::new(stream, connection));
+        let stream = TokioIo::new(ClientStream::new(stream, connection, MemoryBudget::new(usize::MAX)));
         let mut server = http1::Builder::new();
         let _ = server.max_buf_size(READ_BUFFER_BYTES).serve_connection(stream, service).await;
     });
@@ -60,7 +61,7 @@
 pub async fn upload(length: usize, sent: usize) -> (Upload, TcpStream) {
     let framing = format!("Content-Length: {length}");
     let ClientBody { body, client, .. } = incoming(&framing, &vec![b'x'; sent]).await;
-    (Upload::new((Bytes::new(), None), body, idle_budget(), Box::new(|_| {})).0, client)
+    (Upload::new([], body, idle_budget(), Box::new(|_| {})).0, client)
 }
 
 /// More than a test takes.
@@ -92,7 +93,7 @@
             let received = Rc::new(Cell::new(0));
             let counter = received.clone();
             let on_received = Box::new(move |_| counter.set(counter.get() + 1));
-            let (mut upload, _unread) = Upload::new((prefix.into(), None), body, idle_budget(), on_received);
+            let (mut upload, _unread) = Upload::new([prefix.into()], body, idle_budget(), on_received);
             assert!(!upload.progress().is_complete(), "nothing has been taken");
             let mut taken = 0;
             while taken < LENGTH {
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -18,7 +18,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Semaphore;
 
 pub use error::{ConfigError, ConfigFileError};
 
@@ -31,6 +30,16 @@
 /// File descriptors reserved for everything but proxied connections: standard streams, listener, runtime,
 /// discovery, the admin interface, and connection attempts that are ending.
 pub const RESERVED_SOCKETS: usize = 48;
+/// Memory of a node without connections and buffers, in bytes.
+pub const BASE_MEMORY_BYTES: usize = 5 << 20;
+/// Memory of a connection that holds nothing: hyper's two buffers of 8 KiB, its tasks, and a message that is too
+/// short to be reserved for.
+const CONNECTION_BYTES: usize = 20 * 1024;
+/// The least memory for buffers, however little is configured: room for the longest body that is buffered
+/// beside some requests in progress.
+pub const MIN_BUFFER_BYTES: usize = 2 * MAX_BUFFERED_BODY_BYTES;
+/// Connections for which there is room, however little memory is configured.
+const MIN_AFFORDABLE_CONNECTIONS: usize = 64;
 /// Upper bound on a node's memory for each listed server where all are held, in bytes: its entries in the
 /// decision module, the connection pool and the discovery client, and its part of a list that is being
 /// applied.
@@ -149,8 +158,8 @@
     pub max_client_connections: usize,
     /// The most connections to backends.
     pub max_backend_connections: usize,
-    /// The most KiB of request bodies that are buffered at a time.
-    pub body_buffer_kib: usize,
+    /// The most bytes that buffers may hold beside what each connection costs.
+    pub buffer_bytes: usize,
     /// The most servers in a list: half of the memory, at [`HELD_SERVER_BYTES`] each, or
     /// [`LISTED_SERVER_BYTES`] where a subset is held.
     pub max_listed_servers: usize,
@@ -321,6 +330,8 @@
         if connections < MIN_CONNECTIONS {
             return Err(ConfigError::TooFewSockets(file.limits.sockets));
         }
+        let memory_limit = file.limits.memory_mb.saturating_mul(1 << 20);
+        let connections = connections.min(affordable_connections(memory_limit));
         Ok(Config {
             name: file.name,
             listen: file.listen,
@@ -331,11 +342,8 @@
             // connection to a backend, sometimes a second. The rest is for idle clients.
             max_client_connections: connections - connections * 2 / 5,
             max_backend_connections: connections * 2 / 5,
-            // A quarter of the memory, but room for at least one body, or no body could ever be read.
-            body_buffer_kib: (file.limits.memory_mb.saturating_mul(1024) / 4)
-                .clamp(MAX_BUFFERED_BODY_BYTES / 1024, Semaphore::MAX_PERMITS),
-            max_listed_servers: (file.limits.memory_mb.saturating_mul(1 << 20) / 2 / server_bytes)
-                .max(MIN_LIST_LIMIT),
+            buffer_bytes: buffer_bytes(memory_limit, connections),
+            max_listed_servers: (memory_limit / 2 / server_bytes).max(MIN_LIST_LIMIT),
             subset,
             known_list: file.known.map(|known| known.get().to_owned()),
             fleet,
@@ -346,6 +354,21 @@
     }
 }
 
+/// The most connections that a node with this much memory has: what they cost while they hold nothing takes up
+/// to three quarters of it.
+fn affordable_connections(memory_limit: usize) -> usize {
+    let for_connections = memory_limit.saturating_sub(BASE_MEMORY_BYTES) / 4 * 3;
+    (for_connections / CONNECTION_BYTES).max(MIN_AFFORDABLE_CONNECTIONS)
+}
+
+/// The memory for buffers: a quarter of all, or what the connections leave if that is less. A sixteenth is left
+/// to what the allocator can't use.
+fn buffer_bytes(memory_limit: usize, connections: usize) -> usize {
+    let usable = memory_limit / 16 * 15;
+    let left = usable.saturating_sub(BASE_MEMORY_BYTES + connections.saturating_mul(CONNECTION_BYTES));
+    left.min(memory_limit / 4).max(MIN_BUFFER_BYTES)
+}
+
 /// Reads an object of the configuration from an environment variable, for deployments whose configuration
 /// file is generated without these keys: `SILLWARD_FLEET` applies where the file has no `fleet` and allows
 /// messages between nodes, `SILLWARD_ZONES` where it has no `zones`, `SILLWARD_SUBSET` where it has no
