Failing test: a long answer whose body begins after the class's target

A backend sends the head of an answer of 160 kB at once and its body 1.2 s later; the class's target is 0.5 s, the client waits for 2.5 s. Seen: 503 (read) or 502 (submit, correct) at 0.5 s, with a length, chunked and until close. A second test, that an answer whose body never begins ends with the client's time, passes.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -3,6 +3,7 @@
 
 mod bodies;
 mod harness;
+mod late_answers;
 mod lists;
 mod members;
 mod memory_limit;
