Forward the head of a long answer before its attempt's time is over

Cause: a long answer counted as begun when the first bytes of its body had come. Until then its attempt kept its time-out, which ends with the class's target, and the decision module refused or failed the request then.

Change: when half of an attempt's time is over, the answer is the client's, with or without bytes of the body, and no time-out of the attempt applies any more. Its first bytes are then due by the end of the client's time; if they don't come, the answer is ended there, truncated, so that no client waits without an end. Answers of a known length of up to 64 KiB are read whole before anything is forwarded, as before, and end with their attempt's time.

--- a/src/bin/sillward/backend/response.rs
+++ b/src/bin/sillward/backend/response.rs
@@ -16,7 +16,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::mpsc;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// The body of a response, as far as it was buffered.
 enum BufferedResponse {
@@ -65,7 +65,10 @@
                     return (Outcome::Cancelled, report, None);
                 }
                 stage.set(Stage::ResponseStarted);
-                let outcome = stream_response(parts, body, length, sender).await;
+                let now = self.clock.now();
+                let time_left = attempt.forward.deadline.get().saturating_sub(now);
+                let first_chunk_by = self.clock.instant(now + time_left.min(attempt.forward.budget));
+                let outcome = stream_response(parts, body, length, sender, first_chunk_by).await;
                 if outcome == Outcome::Served && is_reusable {
                     self.release_after(attempt, connection);
                 }
@@ -74,9 +77,10 @@
         }
     }
 
-    /// Buffers a response that is short, or may be: without a known length until half of the remaining time is
-    /// over, so that the client gets its first bytes in time. A response for which there is no memory is
-    /// streamed like a long one.
+    /// Buffers a response that is short, or may be. A long one, or one without a length, is streamed before the
+    /// time of its attempt is over: at the latest when half of what is left is, also if no byte of its body has
+    /// come. From then on only its client's time counts. A response for which there is no memory is streamed
+    /// as well.
     async fn buffer_response(
         &self,
         attempt: &Attempt,
@@ -84,25 +88,23 @@
         length: Option<u64>,
     ) -> BufferedResponse {
         let is_short = length.is_some_and(|length| length <= MAX_BUFFERED_BYTES as u64);
-        let is_long = length.is_some() && !is_short;
         let now = self.clock.now();
-        let buffer_until = self.clock.instant(now + attempt.deadline().saturating_sub(now) / 2);
+        // While the request's body still arrives, its deadline is not known.
+        let time_left = attempt.deadline().saturating_sub(now).min(attempt.forward.budget);
+        let stream_at = self.clock.instant(now + time_left / 2);
         let mut buffer = ReservedBuffer::default();
         loop {
-            let frame = if is_short || buffer.len() == 0 {
-                body.frame().await
-            } else {
-                match timeout_at(buffer_until, body.frame()).await {
-                    Ok(frame) => frame,
-                    Err(_) => return BufferedResponse::Part(vec![buffer.finish()]),
-                }
+            let frame = match timeout_at(stream_at, body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) if is_short => body.frame().await,
+                Err(_) => return BufferedResponse::Part(vec![buffer.finish()]),
             };
             let data = match frame.map(|frame| frame.map(Frame::into_data)) {
                 Some(Ok(data)) => data.unwrap_or_default(),
                 Some(Err(_)) => return BufferedResponse::Broken,
                 None => return BufferedResponse::Whole(buffer.finish()),
             };
-            if is_long {
+            if length.is_some() && !is_short {
                 return BufferedResponse::Part(vec![data]);
             }
             if buffer.needs_reservation(data.len()) {
@@ -161,13 +163,16 @@
     headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
 }
 
-/// Streams a response: what has been read, then the rest of its body.
+/// Streams a response: what has been read, then the rest of its body. Its first bytes are due at
+/// `first_chunk_by`, the later ones whenever they come.
 async fn stream_response(
     parts: Vec<Bytes>,
     mut body: Incoming,
     length: Option<u64>,
     sender: mpsc::Sender<BodyChunk>,
+    first_chunk_by: Instant,
 ) -> Outcome {
+    let mut begun = false;
     let mut bytes_left = length;
     let mut parts = parts.into_iter().filter(|part| !part.is_empty());
     loop {
@@ -180,9 +185,11 @@
         let data = match parts.next() {
             Some(part) => part,
             None => {
+                let stalled_at = Instant::now() + STALL_TIMEOUT;
+                let chunk_by = if begun { stalled_at } else { stalled_at.min(first_chunk_by) };
                 let frame = tokio::select! {
                     biased;
-                    frame = timeout(STALL_TIMEOUT, body.frame()) => frame,
+                    frame = timeout_at(chunk_by, body.frame()) => frame,
                     () = sender.closed() => return Outcome::Cancelled,
                 };
                 match frame {
@@ -191,10 +198,12 @@
                         permit.send(BodyChunk::End);
                         return Outcome::Served;
                     }
-                    Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
+                    Ok(Some(Err(_))) => return Outcome::Reset,
+                    Err(_) => return Outcome::TimedOut,
                 }
             }
         };
+        begun |= !data.is_empty();
         bytes_left = bytes_left.map(|left| left.saturating_sub(data.len() as u64));
         permit.send(BodyChunk::Data(data));
         // With a known length the receiver does not wait for an end: the last byte is the end.
