Failing test: an upload to a backend that reads slowly

A backend reads 200 kB a second. Of uploads of 3 to 16 MB the answer was due 1.5 s after the client had written the last byte; of 4.5 MB with a length it came 7.3 s after that.

--- a/tests/uploads/mod.rs
+++ b/tests/uploads/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::harness::*;
 use rustix::net::sockopt::set_socket_linger;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -194,3 +194,55 @@
     drop((stream, client));
     wait_until(|| node.open_descriptors() + 2 == held, "both connections to close");
 }
+
+/// Starts a backend that reads this many bytes a second.
+fn slow_backend(bytes_per_s: usize) -> TcpListener {
+    const READS_PER_S: usize = 20;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let accepting = listener.try_clone().expect("a handle");
+    spawn(move || {
+        for stream in accepting.incoming() {
+            let mut stream = stream.expect("a connection");
+            spawn(move || {
+                let mut buffer = vec![0; bytes_per_s / READS_PER_S];
+                while let Ok(1..) = stream.read(&mut buffer) {
+                    sleep(Duration::from_secs(1) / READS_PER_S as u32);
+                }
+            });
+        }
+    });
+    listener
+}
+
+/// Guards against answers that come seconds late: a client has sent its request once the last byte is written,
+/// though its own machine still holds part of the body, because the backend reads slowly.
+#[test]
+fn an_upload_to_a_backend_that_reads_slowly_is_answered_in_time() {
+    const BUDGET_MS: u64 = 1500;
+    const BYTES_PER_S: usize = 200_000;
+    // A client that writes for longer than this is held back for as long as its backend likes.
+    const WRITE_LIMIT: Duration = Duration::from_secs(10);
+    let written_early = AtomicUsize::new(0);
+    let cases: Vec<_> =
+        HELD_UP_LENGTHS.iter().flat_map(|length| [(*length, false), (*length, true)]).collect();
+    for_each(&cases, |(length, chunked)| {
+        let backend = slow_backend(BYTES_PER_S);
+        let (node, _watch, _discovery) = node_of_hanging_backend(BUDGET_MS, &backend);
+        let mut client = node.client();
+        let stream = client.write_handle();
+        stream.set_write_timeout(Some(WRITE_LIMIT)).expect("an option");
+        let mut sender = Client::from_stream(stream);
+        let written = spawn(move || {
+            send_in_one_piece(&mut sender, "submit", BUDGET_MS, length, chunked);
+            Instant::now()
+        });
+        let status = client.answer().map(|answer| answer.status());
+        let answered = Instant::now();
+        let Ok(written) = written.join() else { return };
+        written_early.fetch_add(1, Ordering::SeqCst);
+        assert!(status.is_some_and(|status| [502, 503, 504].contains(&status)), "{length}: {status:?}");
+        let late = answered.saturating_duration_since(written + Duration::from_millis(BUDGET_MS));
+        assert!(late < MAX_LATENESS, "{length} bytes, chunked: {chunked}: {late:?} after its time");
+    });
+    assert!(written_early.load(Ordering::SeqCst) > 0, "no client has written its whole request");
+}
