Remove the timers of requests that have ended

Seen: memory grew by 400 kB for each 10,000 requests while a client sent sound requests at full speed on one connection: 7.6 MB in 20 s, without an end where clients state long budgets (up to 600 s are accepted).

Cause: the deadline of each request stayed among the node's timers until the client's time was over, also when the request had long been answered; 40 bytes each.

Change: the timers are a module of their own. Whenever they have doubled, those of requests that the node no longer holds are removed. A request is entered among the requests before its timers are armed.

--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -4,6 +4,8 @@
 //!
 //! A `Backend` here is a server of the decision module together with its address.
 
+mod timer_queue;
+
 use crate::backend::ConnectionPool;
 use crate::messages::{
     AcceptedRequest, Answer, Attempt, AttemptResult, EvacuationCommand, ForwardedRequest, Message,
@@ -16,11 +18,11 @@
 use hillpick::control::updates::{DiscoveryCommand, ListUpdate};
 use hillpick::settings::{SettingsUpdate, SiteSettings};
 use hillpick::*;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use timer_queue::{Timer, TimerQueue};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
@@ -59,17 +61,6 @@
     }
 }
 
-/// What a timer is for.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
-    /// The decision module asked for it, with this token.
-    Module(u64),
-    /// The timeout of an attempt, by its number.
-    Attempt(RequestId, u32),
-    /// The client's deadline.
-    Deadline(RequestId),
-}
-
 /// The node: the decision module and all that it decides about.
 pub struct Node {
     clock: Clock,
@@ -82,8 +73,7 @@
     /// The settings that the decision module was last given.
     site: Arc<SiteSettings>,
     requests: BTreeMap<RequestId, PendingRequest>,
-    timers: BinaryHeap<Reverse<(Duration, u64, Timer)>>,
-    timer_sequence: u64,
+    timers: TimerQueue,
 }
 
 impl Node {
@@ -105,15 +95,14 @@
             server_table: config.subset.map(|servers| ServerTable::new(servers, balancer.ring_layout())),
             balancer,
             requests: BTreeMap::new(),
-            timers: BinaryHeap::new(),
-            timer_sequence: 0,
+            timers: TimerQueue::new(),
         }
     }
 
     /// Handles messages and timers until all senders are gone.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
         loop {
-            let next_due = self.timers.peek().map(|Reverse((at, ..))| *at);
+            let next_due = self.timers.next_due();
             let wait = sleep_until(self.clock.instant(next_due.unwrap_or_default()));
             tokio::select! {
                 message = inbox.recv() => match message {
@@ -128,15 +117,19 @@
 
     /// Arms a timer for this time on the node's clock.
     fn arm(&mut self, at: Duration, timer: Timer) {
-        self.timer_sequence += 1; // timers due at the same time fire in the order in which they were set
-        self.timers.push(Reverse((at, self.timer_sequence, timer)));
+        self.timers.arm(at, timer);
+        let requests = &self.requests;
+        self.timers.sweep(|timer| match timer {
+            Timer::Module(LIST_TIMER) => true,
+            Timer::Module(id) => requests.contains_key(&RequestId(*id)),
+            Timer::Attempt(id, _) | Timer::Deadline(id) => requests.contains_key(id),
+        });
     }
 
     /// Carries out all timers that are due.
     fn fire_timers(&mut self) {
         let now = self.clock.now();
-        while self.timers.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
-            let Some(Reverse((_, _, timer))) = self.timers.pop() else { return };
+        while let Some(timer) = self.timers.pop_due(now) {
             match timer {
                 Timer::Module(token) => self.handle_event(Event::Timer { token }),
                 Timer::Attempt(id, number) => self.stop_attempt(id, number, StopReason::TimedOut),
@@ -228,9 +221,6 @@
         let (id, deadline) = (request.id, forward.deadline.get());
         let waited = self.clock.now().saturating_sub(received_at);
         request.remaining = request.remaining.saturating_sub(waited);
-        if !request.body_streaming {
-            self.set_deadline(id, deadline);
-        }
         let max_attempts = request
             .policy
             .as_ref()
@@ -243,6 +233,9 @@
             attempts: Vec::new(),
         };
         self.requests.insert(id, pending);
+        if !request.body_streaming {
+            self.set_deadline(id, deadline);
+        }
         self.handle_event(Event::Request(request));
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -11,6 +11,9 @@
 use std::fmt;
 use std::time::Duration;
 
+/// The token of the server list's timer; a request's timers carry its id.
+pub const LIST_TIMER: u64 = u64::MAX;
+
 /// A server's identifier in the server list. The number itself carries no meaning.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
--- a/src/policy/constants.rs
+++ b/src/policy/constants.rs
@@ -1,7 +1,5 @@
 //! Constants that several files of the decision module share. One that a single file uses is defined there.
 
-/// The token of the server list's timer; a request's timers carry its id.
-pub(super) const LIST_TIMER: u64 = u64::MAX;
 /// The share of the service that probes may cost; the same holds for connections. It is small beside the loss
 /// from sending to servers of unknown load.
 pub(super) const COST_BUDGET: f64 = 0.01;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -25,7 +25,7 @@
 
 use crate::interface::*;
 pub use crate::state::Balancer;
-use constants::{LIST_TIMER, LOAD_LEVELS, RETRY_BUDGET_RATIO};
+use constants::{LOAD_LEVELS, RETRY_BUDGET_RATIO};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::time::Duration;
--- a/src/policy/server_list.rs
+++ b/src/policy/server_list.rs
@@ -1,6 +1,5 @@
 //! The server list: its changes, the ring of ready servers, and when the list is requested.
 
-use super::constants::LIST_TIMER;
 use crate::interface::*;
 use crate::state::{Balancer, Server, max_cold_time, merge_ring};
 use std::time::Duration;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -9,6 +9,7 @@
 mod memory_limit;
 mod node_zones;
 mod operations;
+mod pipelined_floods;
 mod races;
 mod restarts;
 mod subset_node;
