Send nothing on for a client that may have closed behind unread requests

Seen: a client sends requests without waiting and closes its connection; further attempts are made for it long after the close.

Cause: the kernel is asked before each attempt whether the client has closed. A close stands behind the client's last byte: when more was sent than the receive window takes, it is still at the client's machine.

Change: the node counts what a connection has sent since nothing was unread. Beyond 32 KiB, half of the window that Linux opens at least, nothing is sent on for a request that has been read whole: a further attempt is not made, and a new request is refused with 503 and its connection closed. What a streamed body has sent of itself is not concerned.

--- a/src/bin/sillward/backend/exchange.rs
+++ b/src/bin/sillward/backend/exchange.rs
@@ -144,7 +144,7 @@
 
     /// The request with its current headers, or `None` if it may no longer be sent: after the attempt's
     /// deadline, the backend's drain grace or the deduplication window; to another generation of the backend;
-    /// or once the request has its answer or its client has disconnected.
+    /// or once the request has its answer or its client has disconnected, or may have.
     fn build_request(&self, generation: Option<u64>, attempt: &Attempt) -> Option<Request<AttemptBody>> {
         let (now, deadline, forward) = (self.clock.now(), attempt.deadline(), &attempt.forward);
         let backends = self.backends.borrow();
@@ -160,6 +160,7 @@
             || grace_over
             || window_over
             || forward.client.check_disconnected()
+            || forward.body.is_buffered() && forward.client.may_be_disconnected()
         {
             return None;
         }
--- a/src/bin/sillward/client.rs
+++ b/src/bin/sillward/client.rs
@@ -117,6 +117,7 @@
     /// Bytes were received: the first ones after a response begin another request.
     pub fn record_read(&self, bytes: usize) {
         let now = Instant::now();
+        self.liveness.record_read(bytes);
         if self.expects_head() {
             self.head_bytes.set(self.head_bytes.get() + bytes);
         }
--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -10,7 +10,9 @@
 use crate::liveness::{Liveness, PeerState, peer_state};
 use crate::memory::{EXCHANGE_BYTES, MemoryBudget, Reservation};
 use crate::messages::{AcceptedRequest, Answer, ClientPresence, Message, RequestBody};
-use crate::request_body::{BodyReader, MEMORY_WAIT_DIVISOR, OUT_OF_MEMORY, ReadBody, discard, discard_later};
+use crate::request_body::{
+    BodyReader, MEMORY_WAIT_DIVISOR, OUT_OF_MEMORY, ReadBody, TOO_MUCH_PIPELINED, discard, discard_later,
+};
 use crate::request_head::{Rejection, RequestHead};
 use crate::upload::{Upload, UploadProgress};
 use bytes::Bytes;
@@ -410,6 +412,7 @@
         let mut in_progress = Some(InProgress(client.clone(), self.clone()));
         // Boxed, so that a connection without a request is small.
         let handled = Box::pin(self.handle(request, IdleBudget::until(since + READ_TIMEOUT), &client)).await;
+        let may_have_left = matches!(handled, Err(TOO_MUCH_PIPELINED));
         let mut response = match handled {
             Ok(response) => response.ok_or(ClientDisconnected)?,
             Err((status, text)) => plain_response(status, Bytes::from_static(text.as_bytes())),
@@ -426,7 +429,7 @@
         // A connection with a request in progress could not be shed when a sibling process took half of the
         // slots.
         let over_share = self.clients.borrow().len() > self.node.hot_restart.share_of_limit(self.max_clients);
-        if self.node.lifecycle.now().is_draining() || over_share || holds_scarce_memory {
+        if self.node.lifecycle.now().is_draining() || over_share || holds_scarce_memory || may_have_left {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -465,6 +468,9 @@
             return Err((StatusCode::BAD_REQUEST, "a body where none belongs"));
         }
         let (body, exchange_memory) = self.reserve_exchange(body, &mut reader).await?;
+        if body.rest.is_none() && client_connection.liveness.may_be_disconnected() {
+            return Err(TOO_MUCH_PIPELINED);
+        }
         client_connection.exchange_memory.replace(Some(exchange_memory.clone()));
         let idle_budget = reader.idle_budget;
         let received_at = self.clock.now().saturating_sub(body.received_at.elapsed());
--- a/src/bin/sillward/liveness.rs
+++ b/src/bin/sillward/liveness.rs
@@ -6,33 +6,58 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::{Errno, ioctl_fionread};
 use rustix::net::{RecvFlags, recv};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use tokio::net::TcpStream;
 
+/// With this much sent and not known to be all, a client may have closed its connection without that being
+/// visible: its close stands behind bytes for which the kernel has no room. This is half of the least that Linux
+/// lets a peer send ahead.
+const MAX_PIPELINED_BYTES: u64 = 32 * 1024;
+
 /// A handle to a client's connection that doesn't keep it open. The default has no connection and never
 /// counts as disconnected.
 #[derive(Clone, Default)]
-pub struct Liveness(Option<Weak<RefCell<TcpStream>>>);
+pub struct Liveness {
+    stream: Option<Weak<RefCell<TcpStream>>>,
+    bytes_read: Rc<Cell<u64>>,
+    /// The number of bytes read when last nothing was unread.
+    read_all_at: Rc<Cell<u64>>,
+}
 
 impl Liveness {
     /// The handle to this connection.
     pub fn of(stream: &Rc<RefCell<TcpStream>>) -> Self {
-        Liveness(Some(Rc::downgrade(stream)))
+        Liveness { stream: Some(Rc::downgrade(stream)), ..Liveness::default() }
     }
 
     /// Whether the client has closed or half-closed its connection, or the connection is broken. HTTP cannot
     /// say that a client sends no more but still waits for its response, so the protocol takes a half-close
     /// for a close.
     pub fn is_disconnected(&self) -> bool {
-        let Some(stream) = &self.0 else { return false };
+        let Some(stream) = &self.stream else { return false };
         let Some(stream) = stream.upgrade() else { return true };
         peer_state(&stream.borrow()) == PeerState::Disconnected
     }
 
+    /// This many bytes have been read from the client.
+    pub fn record_read(&self, bytes: usize) {
+        self.bytes_read.set(self.bytes_read.get() + bytes as u64);
+    }
+
+    /// Whether the client may have disconnected without that being visible, because it has sent more than the
+    /// kernel takes. Asked when all of a request has been read: what is unread belongs to later ones.
+    pub fn may_be_disconnected(&self) -> bool {
+        let (read, unread) = (self.bytes_read.get(), self.unread_bytes());
+        if unread == 0 {
+            self.read_all_at.set(read);
+        }
+        read - self.read_all_at.get() + unread > MAX_PIPELINED_BYTES
+    }
+
     /// The bytes from the client that the kernel holds unread; none if there is no connection.
     pub fn unread_bytes(&self) -> u64 {
-        let stream = self.0.as_ref().and_then(Weak::upgrade);
+        let stream = self.stream.as_ref().and_then(Weak::upgrade);
         stream.and_then(|stream| ioctl_fionread(&*stream.borrow()).ok()).unwrap_or_default()
     }
 }
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -172,6 +172,11 @@
         self.upload_progress().is_some_and(|progress| !progress.is_complete())
     }
 
+    /// Whether all of the body has been read from the client.
+    pub fn is_buffered(&self) -> bool {
+        matches!(self, RequestBody::Buffered(_))
+    }
+
     /// How far a streamed body has got.
     pub fn upload_progress(&self) -> Option<&UploadProgress> {
         match self {
@@ -208,6 +213,11 @@
         disconnected
     }
 
+    /// Whether the client may have disconnected behind later requests, see [`Liveness::may_be_disconnected`].
+    pub fn may_be_disconnected(&self) -> bool {
+        self.liveness.may_be_disconnected()
+    }
+
     /// Waits until the kernel knows that the client has disconnected, and tells the node.
     pub async fn disconnected(&self) {
         sleep(DISCONNECT_CHECK_INTERVAL).await;
--- a/src/bin/sillward/request_body.rs
+++ b/src/bin/sillward/request_body.rs
@@ -20,6 +20,9 @@
 const READ_DELAY: Duration = Duration::from_millis(20);
 /// The response to a request for whose buffers there is no memory.
 pub const OUT_OF_MEMORY: Rejection = (StatusCode::SERVICE_UNAVAILABLE, "out of buffer memory");
+/// The response to a request behind which so much is unread that its client may have left.
+pub const TOO_MUCH_PIPELINED: Rejection =
+    (StatusCode::SERVICE_UNAVAILABLE, "too many requests behind this one");
 const TERMINATING: Rejection = (StatusCode::SERVICE_UNAVAILABLE, "terminating");
 
 /// A request waits for memory for this part of its time.
--- a/tests/races/client_gone.rs
+++ b/tests/races/client_gone.rs
@@ -2,9 +2,11 @@
 
 use crate::harness::*;
 use std::collections::BTreeSet;
+use std::io::Write;
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 const DEADLINE_MS: u64 = 20_000;
 
@@ -92,6 +94,34 @@
     }
 }
 
+/// Guards against requests that are sent on for a client that has closed its connection behind more bytes than the
+/// node's machine takes: its close stands behind them, on its own machine.
+#[test]
+fn a_disconnect_behind_more_than_the_kernel_takes_prevents_further_attempts() {
+    // An attempt may still begin this long after the close.
+    const NOTICE_TIME: Duration = Duration::from_millis(100);
+    // A write that takes longer shows that the buffers are full.
+    const WRITE_LIMIT: Duration = Duration::from_millis(200);
+    for unread_bytes in [20_000, 100_000, 1_000_000, 4_000_000] {
+        let gated = GatedBackends::start();
+        let (node, _watch, _discovery) = serving_node(&settings(DEADLINE_MS, ""), &gated.backends.each_ref());
+        serve_others(&node);
+        let closed_gate = gated.gate.lock().expect("the gate");
+        let client = send_held(&node);
+        wait_until(|| gated.held_requests() == 1, "the first attempt");
+        let mut stream = client.write_handle();
+        stream.set_write_timeout(Some(WRITE_LIMIT)).expect("an option");
+        let request = || format!("GET /read/held HTTP/1.1\r\nHost: a\r\n{}\r\n", common_headers(DEADLINE_MS));
+        let pipelined: String = (0..unread_bytes / request().len()).map(|_| request()).collect();
+        let _ = stream.write_all(pipelined.as_bytes());
+        drop((stream, client));
+        std::thread::sleep(NOTICE_TIME);
+        drop(closed_gate);
+        serve_others(&node);
+        assert_eq!(gated.held_requests(), 1, "{unread_bytes} bytes unread");
+    }
+}
+
 /// Guards against an attempt that goes on, and keeps its server busy, for a client whose disconnect unread bytes
 /// of another request hide from the runtime.
 #[test]
