Don't run a request again that comes again with the same id

Seen: a request of a keyed or unsafe class whose client has left, or still waits, comes again with the same id, at the same process or at the other one of a hot restart, and is run a second time.

Cause: requests were told apart by their connection alone; what an earlier one with the same id had done was not known.

Change: the node remembers the ids (hashes, the last 8,192) of requests for which an attempt was made, of classes that must not be repeated freely. One that comes again while the first may have run is answered 502: it may not be sent, and can't be refused as harmless. If no attempt can have run, or the class allows repeats everywhere, nothing is remembered. The processes of a hot restart tell each other, over the connection that they have: all ids when they meet, then each as its attempt is made. What may be repeated is decided in src/policy/repeats.rs.

--- a/src/bin/sillward/frontend/disconnects.rs
+++ b/src/bin/sillward/frontend/disconnects.rs
@@ -54,7 +54,8 @@
         let memory = MemoryBudget::new(config.buffer_bytes);
         let pool =
             ConnectionPool::start(clock, &config, live_settings.clone(), Rc::default(), memory.clone());
-        spawn_local(crate::node::Node::new(clock, &config, pool, to_node.clone(), commands).run(inbox));
+        let node = crate::node::Node::new(clock, &config, pool, to_node.clone(), commands, Rc::default());
+        spawn_local(node.run(inbox));
         let (disconnects, hold_disconnects) = (Rc::<Cell<usize>>::default(), Rc::<Cell<bool>>::default());
         let (counter, hold_flag) = (disconnects.clone(), hold_disconnects.clone());
         spawn_local(async move {
--- a/src/bin/sillward/handover.rs
+++ b/src/bin/sillward/handover.rs
@@ -3,6 +3,7 @@
 //! `$TMPDIR`, which both share, and their connection stays open: while it does, the two processes share the
 //! node's connection limits, and each tells the other its status.
 
+use crate::executed_requests::{ChangeReader, SharedExecutedRequests};
 use crate::lifecycle::{Lifecycle, ProcessState};
 use hillpick::control::config::{BASE_MEMORY_BYTES, MIN_BUFFER_BYTES, RESERVED_SOCKETS};
 use hillpick::control::log::log;
@@ -74,6 +75,8 @@
 pub struct HotRestart {
     siblings: watch::Sender<SiblingStatus>,
     accepting: watch::Sender<bool>,
+    /// The requests that may have run, in this process or a sibling.
+    pub executed_requests: Rc<SharedExecutedRequests>,
 }
 
 /// Notifies of sibling processes that start, exit or change their status.
@@ -288,8 +291,20 @@
 }
 
 /// Exchanges status with the sibling process: sends this process's whenever it changes, and passes on what is
-/// received, until the sibling closes the connection or exits.
+/// received, until the sibling closes the connection or exits. Both tell each other which requests may have run.
 async fn exchange_status(
+    stream: UnixStream,
+    hot_restart: &HotRestart,
+    lifecycle: &Lifecycle,
+    last_sent: Option<ProcessStatus>,
+    on_status: impl FnMut(ProcessStatus),
+) {
+    hot_restart.executed_requests.begin_telling();
+    exchange_until_closed(stream, hot_restart, lifecycle, last_sent, on_status).await;
+    hot_restart.executed_requests.end_telling();
+}
+
+async fn exchange_until_closed(
     mut stream: UnixStream,
     hot_restart: &HotRestart,
     lifecycle: &Lifecycle,
@@ -297,7 +312,8 @@
     mut on_status: impl FnMut(ProcessStatus),
 ) {
     let (mut phase, mut accepting) = (lifecycle.watch(), hot_restart.accepting.subscribe());
-    let mut received = [0; 16];
+    let mut received = [0; 1024];
+    let (requests, mut changes) = (&hot_restart.executed_requests, ChangeReader::default());
     loop {
         let own = hot_restart.own_status(lifecycle);
         if last_sent.replace(own) != Some(own) && stream.write_all(&[own.to_byte()]).await.is_err() {
@@ -306,11 +322,18 @@
         tokio::select! {
             read = stream.read(&mut received) => match read {
                 Ok(0) | Err(_) => return,
-                Ok(read) => received[..read]
-                    .iter()
-                    .filter_map(|byte| ProcessStatus::from_byte(*byte))
-                    .for_each(&mut on_status),
+                Ok(read) => {
+                    for byte in &received[..read] {
+                        changes.push(*byte).into_iter().for_each(|change| requests.apply(change));
+                        ProcessStatus::from_byte(*byte).into_iter().for_each(&mut on_status);
+                    }
+                }
             },
+            told = requests.next_changes() => {
+                if stream.write_all(&told).await.is_err() {
+                    return;
+                }
+            }
             Ok(()) = phase.changed() => {}
             Ok(()) = accepting.changed() => {}
         }
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -8,6 +8,7 @@
 mod body;
 mod client;
 mod client_stream;
+mod executed_requests;
 mod frontend;
 mod handover;
 mod lifecycle;
@@ -131,7 +132,14 @@
     let (discovery_address, address) = watch::channel(config.discovery);
     let discovery = DiscoveryClient::new(&config, live_settings.clone(), address, messages.clone());
     let ready = discovery.ready();
-    let node = node::Node::new(clock, &config, pool, messages.clone(), commands);
+    let node = node::Node::new(
+        clock,
+        &config,
+        pool,
+        messages.clone(),
+        commands,
+        hot_restart.executed_requests.clone(),
+    );
     let view = MembershipView::default();
     let evacuation = config.zones.as_ref().map(|zones| Duration::from_secs_f64(zones.evacuation_s));
     let state = lifecycle.watch_state();
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -7,6 +7,7 @@
 mod timer_queue;
 
 use crate::backend::ConnectionPool;
+use crate::executed_requests::SharedExecutedRequests;
 use crate::messages::{
     AcceptedRequest, Answer, Attempt, AttemptResult, EvacuationCommand, ForwardedRequest, Message,
     ProbeResult, ResponseStart, StopReason, SubsetStatus, ZoneStatus,
@@ -30,6 +31,8 @@
 /// A request that has no final answer yet, or has attempts in flight.
 struct PendingRequest {
     forward: Rc<ForwardedRequest>,
+    /// Identifies the request if it comes again, where it must not be repeated.
+    fingerprint: Option<RequestFingerprint>,
     /// Where the final answer goes; `None` once it has been given.
     reply: Option<oneshot::Sender<Answer>>,
     /// Whether the request's last byte has arrived, so that its time runs.
@@ -50,6 +53,8 @@
     /// For a streamed response, the time until it started. From then on the attempt has no timeout.
     time_to_start: Option<Duration>,
     ended: bool,
+    /// Whether the request may have run by it.
+    may_have_run: bool,
 }
 
 impl PendingRequest {
@@ -73,6 +78,7 @@
     /// The settings that the decision module was last given.
     site: Arc<SiteSettings>,
     requests: BTreeMap<RequestId, PendingRequest>,
+    executed_requests: Rc<SharedExecutedRequests>,
     timers: TimerQueue,
 }
 
@@ -84,6 +90,7 @@
         pool: Rc<ConnectionPool>,
         messages: mpsc::Sender<Message>,
         discovery: mpsc::Sender<DiscoveryCommand>,
+        executed_requests: Rc<SharedExecutedRequests>,
     ) -> Self {
         let balancer = Balancer::new(config.site.settings.clone(), config.seed);
         Node {
@@ -95,6 +102,7 @@
             server_table: config.subset.map(|servers| ServerTable::new(servers, balancer.ring_layout())),
             balancer,
             requests: BTreeMap::new(),
+            executed_requests,
             timers: TimerQueue::new(),
         }
     }
@@ -221,12 +229,18 @@
         let (id, deadline) = (request.id, forward.deadline.get());
         let waited = self.clock.now().saturating_sub(received_at);
         request.remaining = request.remaining.saturating_sub(waited);
+        let class = self.site.settings.classes.get(request.class);
+        let class = request.policy.as_ref().map(|policy| &policy.class).or(class);
+        let fingerprint = class
+            .filter(|class| ExecutedRequests::concerns(&class.retry_safety))
+            .map(|_| SharedExecutedRequests::fingerprint(forward.call_id.as_bytes()));
         let max_attempts = request
             .policy
             .as_ref()
             .map_or(self.site.settings.limits.max_attempts, |policy| policy.max_attempts);
         let pending = PendingRequest {
             forward: Rc::new(forward),
+            fingerprint,
             reply: Some(reply),
             received: !request.body_streaming,
             max_attempts: max_attempts.max(1) as usize,
@@ -277,6 +291,7 @@
         let Some(pending) = self.requests.get_mut(&result.id) else { return };
         let Some(attempt) = pending.attempts.get_mut(result.attempt as usize) else { return };
         (attempt.ended, attempt.stop) = (true, None);
+        attempt.may_have_run = !result.outcome.never_ran();
         let (server, sent_at, time_to_start) = (attempt.server, attempt.sent_at, attempt.time_to_start);
         if time_to_start.is_some() && result.outcome != Outcome::Served {
             log(format_args!("streamed response of server {:x} was aborted: {:?}", server.0, result.outcome));
@@ -311,8 +326,13 @@
     /// Removes a request that has its answer and no attempt in flight.
     fn remove_finished(&mut self, id: RequestId) {
         let is_finished = |p: &PendingRequest| p.reply.is_none() && p.attempts.iter().all(|a| a.ended);
-        if self.requests.get(&id).is_some_and(is_finished) {
-            self.requests.remove(&id);
+        if !self.requests.get(&id).is_some_and(is_finished) {
+            return;
+        }
+        let Some(pending) = self.requests.remove(&id) else { return };
+        let has_run = pending.attempts.iter().any(|attempt| attempt.may_have_run);
+        if let Some(fingerprint) = pending.fingerprint.filter(|_| !has_run) {
+            self.executed_requests.forget(fingerprint, id);
         }
     }
 
@@ -378,8 +398,15 @@
     fn start_attempt(&mut self, id: RequestId, server: ServerId, timeout: Duration) -> Option<Event> {
         let now = self.clock.now();
         let pending = self.requests.get_mut(&id)?;
-        let (number, finished) = (pending.attempts.len() as u32, pending.reply.is_none());
-        let (deadline, received) = (pending.forward.deadline.get(), pending.received);
+        let number = pending.attempts.len() as u32;
+        let executed_requests = &self.executed_requests;
+        if pending.fingerprint.is_some_and(|fingerprint| executed_requests.is_repeat(fingerprint, id)) {
+            // Its client can't be told that trying again is harmless.
+            log(format_args!("request {}: its id came again, and the first may have run: failed", id.0));
+            pending.answer(Answer::Failed);
+        }
+        let (finished, received) = (pending.reply.is_none(), pending.received);
+        let deadline = pending.forward.deadline.get();
         if finished || now >= deadline || pending.attempts.len() >= pending.max_attempts {
             pending.attempts.push(PendingAttempt {
                 server,
@@ -387,7 +414,9 @@
                 stop: None,
                 time_to_start: None,
                 ended: true,
+                may_have_run: false,
             });
+            self.remove_finished(id);
             return Some(Event::AttemptEnded(AttemptEnd {
                 id,
                 attempt: number,
@@ -399,6 +428,7 @@
                 body_consumed: false,
             }));
         }
+        pending.fingerprint.iter().for_each(|fingerprint| self.executed_requests.record(*fingerprint, id));
         let attempt_deadline = if timeout.is_zero() { deadline } else { deadline.min(now + timeout) };
         let (stop, stopped) = oneshot::channel();
         let attempt = Attempt {
@@ -414,6 +444,7 @@
             stop: Some(stop),
             time_to_start: None,
             ended: false,
+            may_have_run: true,
         });
         // While the body is being received, the attempt has no timeout.
         if received {
--- a/src/bin/sillward/node/tests.rs
+++ b/src/bin/sillward/node/tests.rs
@@ -40,7 +40,7 @@
             Rc::default(),
             MemoryBudget::new(config.buffer_bytes),
         );
-        test(Node::new(clock, &config, pool, messages, commands), inbox).await
+        test(Node::new(clock, &config, pool, messages, commands, Rc::default()), inbox).await
     });
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub use interface::*;
 pub use policy::Balancer;
+pub use policy::repeats::{ExecutedRequests, MAX_REMEMBERED_REQUESTS, RequestFingerprint};
 pub use policy::subset::{LEAST_SUBSET, RingRange};
 
 /// The README's example, compiled as a test.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,6 +14,7 @@
 mod dispatch;
 mod fleet_view;
 mod health;
+pub mod repeats;
 mod request;
 mod request_value;
 mod retry;
--- a/tests/races/handover.rs
+++ b/tests/races/handover.rs
@@ -11,13 +11,18 @@
 const DEADLINE_MS: u64 = 20_000;
 
 /// The configuration of a successor to the process that listens at this address.
-fn successor_config(address: SocketAddr, discovery: &Discovery, settings: &str, sockets: usize) -> String {
+pub fn successor_config(
+    address: SocketAddr,
+    discovery: &Discovery,
+    settings: &str,
+    sockets: usize,
+) -> String {
     let config = with_ops(&config(discovery.address, settings, sockets));
     config.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{address}""#))
 }
 
 /// Sends the server list to a process that asks for it, and waits until it reports that it can serve.
-fn send_list(discovery: &Discovery, backend: &Backend, node: &Node) -> Watch {
+pub fn send_list(discovery: &Discovery, backend: &Backend, node: &Node) -> Watch {
     let line = list(8, true, &[entry("s-0", backend.address, "in_service")]);
     discovery.send_list_until(&line, || node.ops_call("GET /status") == 200, "status 200")
 }
--- a/tests/races/mod.rs
+++ b/tests/races/mod.rs
@@ -8,5 +8,6 @@
 mod floods;
 mod handover;
 mod lists;
+mod repeats;
 mod retries;
 mod settings;
