--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -542,6 +542,11 @@
         line.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") * 1024
     }
 
+    /// How the process has ended, if it has.
+    pub fn try_exit(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("its state")
+    }
+
     /// Waits until the process has ended.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         let mut status = None;
