--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -552,7 +552,7 @@
         let mut status = None;
         wait_until(
             || {
-                status = self.child.try_wait().expect("its state");
+                status = self.try_exit();
                 status.is_some()
             },
             "the node to exit",
