Count a second process of a hot restart against the memory limit

Seen: a successor that starts beside a process which has had a crowd takes the node over its memory limit: 27.8 MB and 5.2 MB at a limit of 32 MB. The allocator keeps what the crowd's buffers took, so the first process doesn't shrink.

Cause: the budget took a part of its buffers away while there are two processes, but what the first process uses already can't be taken back.

Change: where an operations address is configured, so that hot restarts are possible, what a process needs without connections and buffers is set aside twice from the start. During a hot restart each process has half of the buffers.

--- a/src/bin/sillward/handover.rs
+++ b/src/bin/sillward/handover.rs
@@ -5,7 +5,7 @@
 
 use crate::executed_requests::{ChangeReader, SharedExecutedRequests};
 use crate::lifecycle::{Lifecycle, ProcessState};
-use hillpick::control::config::{BASE_MEMORY_BYTES, MIN_BUFFER_BYTES, RESERVED_SOCKETS};
+use hillpick::control::config::{MIN_BUFFER_BYTES, RESERVED_SOCKETS};
 use hillpick::control::log::log;
 use hillpick::control::process::Siblings;
 use rustix::net::{
@@ -140,12 +140,10 @@
         if has_sibling { (limit.saturating_sub(RESERVED_SOCKETS / 2) / 2).max(1) } else { limit }
     }
 
-    /// This process's share of the memory for buffers: with a sibling half of what that process itself
-    /// leaves.
+    /// This process's share of the memory for buffers: half of it with a sibling.
     pub fn share_of_memory(&self, limit: usize) -> usize {
         let has_sibling = self.has_predecessor() || self.has_successor();
-        let shared = limit.saturating_sub(BASE_MEMORY_BYTES) / 2;
-        if has_sibling { shared.max(MIN_BUFFER_BYTES) } else { limit }
+        if has_sibling { (limit / 2).max(MIN_BUFFER_BYTES) } else { limit }
     }
 }
 
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -30,8 +30,8 @@
 /// File descriptors reserved for everything but proxied connections: standard streams, listener, runtime,
 /// discovery, the admin interface, and connection attempts that are ending.
 pub const RESERVED_SOCKETS: usize = 48;
-/// Memory of a node without connections and buffers, in bytes.
-pub const BASE_MEMORY_BYTES: usize = 5 << 20;
+/// Memory of a process without connections and buffers, in bytes.
+const BASE_MEMORY_BYTES: usize = 5 << 20;
 /// Memory of a connection that holds nothing: hyper's two buffers of 8 KiB, its tasks, and a message that is too
 /// short to be reserved for.
 const CONNECTION_BYTES: usize = 20 * 1024;
@@ -331,7 +331,9 @@
             return Err(ConfigError::TooFewSockets(file.limits.sockets));
         }
         let memory_limit = file.limits.memory_mb.saturating_mul(1 << 20);
-        let connections = connections.min(affordable_connections(memory_limit));
+        // Where hot restarts are possible, a second process needs its part.
+        let base_memory = BASE_MEMORY_BYTES * if file.ops.is_some() { 2 } else { 1 };
+        let connections = connections.min(affordable_connections(memory_limit, base_memory));
         Ok(Config {
             name: file.name,
             listen: file.listen,
@@ -342,7 +344,7 @@
             // connection to a backend, sometimes a second. The rest is for idle clients.
             max_client_connections: connections - connections * 2 / 5,
             max_backend_connections: connections * 2 / 5,
-            buffer_bytes: buffer_bytes(memory_limit, connections),
+            buffer_bytes: buffer_bytes(memory_limit, base_memory, connections),
             max_listed_servers: (memory_limit / 2 / server_bytes).max(MIN_LIST_LIMIT),
             subset,
             known_list: file.known.map(|known| known.get().to_owned()),
@@ -356,16 +358,16 @@
 
 /// The most connections that a node with this much memory has: what they cost while they hold nothing takes up
 /// to three quarters of it.
-fn affordable_connections(memory_limit: usize) -> usize {
-    let for_connections = memory_limit.saturating_sub(BASE_MEMORY_BYTES) / 4 * 3;
+fn affordable_connections(memory_limit: usize, base_memory: usize) -> usize {
+    let for_connections = memory_limit.saturating_sub(base_memory) / 4 * 3;
     (for_connections / CONNECTION_BYTES).max(MIN_AFFORDABLE_CONNECTIONS)
 }
 
 /// The memory for buffers: a quarter of all, or what the connections leave if that is less. A sixteenth is left
 /// to what the allocator can't use.
-fn buffer_bytes(memory_limit: usize, connections: usize) -> usize {
+fn buffer_bytes(memory_limit: usize, base_memory: usize, connections: usize) -> usize {
     let usable = memory_limit / 16 * 15;
-    let left = usable.saturating_sub(BASE_MEMORY_BYTES + connections.saturating_mul(CONNECTION_BYTES));
+    let left = usable.saturating_sub(base_memory + connections.saturating_mul(CONNECTION_BYTES));
     left.min(memory_limit / 4).max(MIN_BUFFER_BYTES)
 }
 
--- a/tests/memory_limit/mod.rs
+++ b/tests/memory_limit/mod.rs
@@ -68,20 +68,35 @@
         backends
     }
 
-    /// Starts a node that serves these backends, with this limit of descriptors.
-    fn node(&self, sockets: usize) -> (Node, Watch, Discovery) {
-        let discovery = Discovery::start();
+    /// The configuration of a node with the least memory and this limit of descriptors.
+    fn configuration(discovery: &Discovery, sockets: usize) -> String {
         let settings = settings(BUDGET_MS, "");
         let settings = settings.replace(r#""AllowancePerS":1000,"#, r#""AllowancePerS":1000000,"#);
         let config = config(discovery.address, &settings, sockets);
-        let config = config.replace(r#""memory_mb":192"#, &format!(r#""memory_mb":{MEMORY_LIMIT_MB}"#));
-        let node = Node::start(&config, &format!("ulimit -n {sockets}; "));
+        config.replace(r#""memory_mb":192"#, &format!(r#""memory_mb":{MEMORY_LIMIT_MB}"#))
+    }
+
+    /// Starts a node that serves these backends, with this limit of descriptors.
+    fn node(&self, sockets: usize) -> (Node, Watch, Discovery) {
+        let discovery = Discovery::start();
+        let config = Backends::configuration(&discovery, sockets);
+        let (node, watch) = self.start(&discovery, &config, sockets);
+        (node, watch, discovery)
+    }
+
+    /// Starts a node with this configuration.
+    fn start(&self, discovery: &Discovery, config: &str, sockets: usize) -> (Node, Watch) {
+        let node = Node::start(config, &format!("ulimit -n {sockets}; "));
+        let watch = discovery.send_list_until(&self.list(), || node.is_ready(), "readiness");
+        (node, watch)
+    }
+
+    /// The server list that names them.
+    fn list(&self) -> String {
         let entries = self.0.iter().enumerate().map(|(i, listener)| {
             entry(&format!("s-{i}"), listener.local_addr().expect("its address"), "in_service")
         });
-        let line = list(8, true, &entries.collect::<Vec<_>>());
-        let watch = discovery.send_list_until(&line, || node.is_ready(), "readiness");
-        (node, watch, discovery)
+        list(8, true, &entries.collect::<Vec<_>>())
     }
 }
 
@@ -277,3 +292,31 @@
     let crowd = |what, staying| Crowd { what, backends: &answering, sends: &mixed, staying };
     check_crowds(&[crowd("a mixed crowd", Staying::Idle), crowd("a mixed crowd, slow", Staying::Writing)]);
 }
+
+/// Guards against a successor for which a crowd at its predecessor leaves no memory: the limit is that of both.
+#[test]
+fn a_successor_beside_a_crowd_stays_within_the_memory_limit() {
+    const SOCKETS: usize = 1024;
+    let answering = Backends::handling(answer_shortly);
+    let request = || {
+        let head = format!("GET /read/1 HTTP/1.1\r\nHost: a\r\n{}\r\n", common_headers(BUDGET_MS));
+        head.repeat(60).into_bytes()
+    };
+    let discovery = Discovery::start();
+    let config = with_ops(&Backends::configuration(&discovery, SOCKETS));
+    let (mut old, _watch) = answering.start(&discovery, &config, SOCKETS);
+    let mut clients = connect_clients(&old, SOCKETS * 5 / 8, &request);
+    stay(&mut clients, Staying::Idle);
+    let listen = format!(r#""listen":"{}""#, old.address);
+    let config = config.replace(r#""listen":"127.0.0.1:0""#, &listen);
+    let new = Node::start_in(&old.tmp, &config, &format!("ulimit -n {SOCKETS}; "));
+    let ready = || new.ops_call("GET /status") == 200;
+    let _list_watch = discovery.send_list_until(&answering.list(), ready, "the successor");
+    let peaks = [&old, &new].map(|node| node.peak_memory() >> 10);
+    eprintln!("peaks of both processes: {peaks:?} kB");
+    assert!(peaks.iter().sum::<usize>() < MEMORY_LIMIT_MB << 10, "{peaks:?} kB");
+    drop(clients);
+    old.terminate();
+    assert!(old.wait_for_exit().success());
+    assert!(new.is_ready());
+}
