Shed clients that stop in the middle of a body when others wait

Cause: only connections without a request in progress were closed to make room.

Change: where no idle connection is left, the client that has sent nothing of its body for longest, 200 ms at least, is closed. A full node looks for such clients every 20 ms.

--- a/src/bin/sillward/client.rs
+++ b/src/bin/sillward/client.rs
@@ -3,6 +3,7 @@
 use crate::body::{IDLE_TIMEOUT, STALL_TIMEOUT};
 use crate::liveness::Liveness;
 use crate::memory::Reservation;
+use crate::upload::UploadProgress;
 use crate::write_backlog::WriteBacklog;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -18,6 +19,9 @@
 /// Read buffer of a connection: no request head may be longer.
 pub const READ_BUFFER_BYTES: usize = 32 * 1024;
 
+/// A client that sends nothing of its request's body for this long may be shed to make room for others.
+const BODY_STALL: Duration = Duration::from_millis(200);
+
 /// The state of a client's connection.
 pub struct Client {
     /// When it was accepted.
@@ -43,6 +47,10 @@
     pub write_backlog: Rc<WriteBacklog>,
     /// The bytes that were read since the last request: those of the next one's head.
     pub head_bytes: Cell<usize>,
+    /// Whether the request's body is being read and its next bytes have not come.
+    pub awaiting_body: Cell<bool>,
+    /// How far a streamed request body has got.
+    pub upload: RefCell<Option<Rc<UploadProgress>>>,
     /// The memory of a long head. hyper keeps the larger buffer as long as the connection.
     pub head_memory: RefCell<Option<Reservation>>,
     /// The memory of the request in progress. It is held until the response has been written.
@@ -86,6 +94,8 @@
             liveness,
             write_backlog: Rc::default(),
             head_bytes: Cell::new(0),
+            awaiting_body: Cell::new(false),
+            upload: RefCell::default(),
             head_memory: RefCell::default(),
             exchange_memory: RefCell::default(),
         }
@@ -97,11 +107,24 @@
         self.next_begun.set(None);
         self.streaming.set(false);
         self.head_bytes.set(0);
+        self.awaiting_body.set(false);
+        self.upload.take();
         self.write_backlog.reset();
         self.head_memory.borrow().iter().for_each(Reservation::set_arrived);
         !self.had_request.replace(true)
     }
 
+    /// Whether the client owes the next bytes of its request's body.
+    fn is_awaiting_body(&self) -> bool {
+        self.awaiting_body.get()
+            || self.upload.borrow().as_ref().is_some_and(|upload| upload.is_awaiting_client())
+    }
+
+    /// Whether the client has stopped in the middle of its request's body.
+    pub fn is_stalled(&self) -> bool {
+        self.is_awaiting_body() && self.last_activity.get().elapsed() >= BODY_STALL
+    }
+
     /// Whether the next bytes are those of a head, not of a body.
     pub fn expects_head(&self) -> bool {
         self.idle_since.get().is_some()
@@ -142,6 +165,8 @@
         let still_arriving =
             next_begun && (!shed || (self.last_activity.get() != activity_before && !terminating));
         match self.had_request.get() {
+            // The request is incomplete and has not been accepted.
+            _ if in_progress && shed && self.is_stalled() => CloseMode::Immediate,
             _ if in_progress => CloseMode::Graceful,
             _ if still_arriving => CloseMode::Deferred,
             false if shed => CloseMode::Immediate,
--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -53,6 +53,8 @@
 /// How long a shutdown waits for bodies that are still being streamed: long enough for the longest body at a
 /// rate that clients are known to keep up.
 const STREAMING_SHUTDOWN_LIMIT: Duration = Duration::from_secs(60);
+/// How often connections that can be shed are looked for while there is no free slot.
+const SHED_INTERVAL: Duration = Duration::from_millis(20);
 /// How often a process that starts beside another checks whether it holds a server list and can accept
 /// clients.
 const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -278,12 +280,15 @@
         pending.into_iter().for_each(|stream| self.serve(stream));
     }
 
-    /// Tells the connection that has been idle for longest to close. Closing may take a moment, so a
-    /// connection that has been told is skipped.
+    /// Tells the connection that has been idle for longest to close, or where none is idle the one that has
+    /// stopped for longest in the middle of a request. Closing may take a moment, so an idle connection that has
+    /// been told is skipped.
     fn shed_longest_idle(&self) {
         let clients = self.clients.borrow();
         let idle = clients.values().filter(|client| client.idle_since.get().is_some() && !client.shed.get());
-        if let Some(client) = idle.min_by_key(|client| client.last_activity.get()) {
+        let stalled = || clients.values().filter(|client| client.is_stalled());
+        let longest = idle.min_by_key(|client| client.last_activity.get());
+        if let Some(client) = longest.or_else(|| stalled().min_by_key(|client| client.last_activity.get())) {
             client.shed.set(true);
             client.close.notify_one();
         }
@@ -293,7 +298,8 @@
     async fn free_slot(&self) {
         while self.is_full() {
             self.shed_longest_idle();
-            self.slot_freed.notified().await;
+            // A connection may stall without any notice of that.
+            let _ = timeout(SHED_INTERVAL, self.slot_freed.notified()).await;
         }
     }
 
@@ -453,6 +459,7 @@
         drop(head);
         let budget = parsed.as_ref().map_or(Duration::ZERO, |head| head.budget);
         let mut reader = BodyReader {
+            client: client_connection,
             idle_budget,
             memory_wait: budget / MEMORY_WAIT_DIVISOR,
             memory: &self.memory,
@@ -498,6 +505,7 @@
                 });
                 let (upload, unread_rest) = Upload::new(body.read, rest, idle_budget, on_received);
                 upload.progress().record_caught_up(body.received_at);
+                client_connection.upload.replace(Some(upload.progress().clone()));
                 progress = Some(upload.progress().clone());
                 unread = Some(unread_rest);
                 RequestBody::streamed(upload)
--- a/src/bin/sillward/request_body.rs
+++ b/src/bin/sillward/request_body.rs
@@ -2,7 +2,7 @@
 //! that are streamed, and those that are discarded.
 
 use crate::body::{IdleBudget, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
-use crate::client::READ_TIMEOUT;
+use crate::client::{Client, READ_TIMEOUT};
 use crate::lifecycle::Lifecycle;
 use crate::memory::{MemoryBudget, Reservation, ReservedBuffer, UNRESERVED_BYTES};
 use crate::request_head::Rejection;
@@ -47,6 +47,8 @@
 
 /// Reads one request's body.
 pub struct BodyReader<'a> {
+    /// The client's connection.
+    pub client: &'a Client,
     /// The idle time that the client has left.
     pub idle_budget: IdleBudget,
     /// How long the body may wait for memory.
@@ -119,11 +121,13 @@
     /// The next chunk, and how long it was waited for; `None` at the body's end.
     async fn next_chunk(&mut self, body: &mut Incoming) -> Result<Option<(Bytes, Duration)>, Rejection> {
         let begun = Instant::now();
+        self.client.awaiting_body.set(true);
         let frame = tokio::select! {
             biased;
             frame = timeout(self.idle_budget.remaining(), body.frame()) => frame,
             () = self.lifecycle.body_deadline() => return Err(TERMINATING),
         };
+        self.client.awaiting_body.set(false);
         let Some(frame) = frame.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "too slow"))? else {
             return Ok(None);
         };
--- a/tests/races/floods.rs
+++ b/tests/races/floods.rs
@@ -206,3 +206,52 @@
 fn in_a_flood_that_reads_no_response_connections_are_closed() {
     flood("refuses to read", never_read, 20, 1);
 }
+
+/// Guards against whole requests that wait to be accepted for longer than their clients do, behind a crowd that
+/// stops in the middle of its bodies.
+#[test]
+fn in_a_crowd_that_stops_in_a_body_whole_requests_are_answered_in_time() {
+    const CROWD: usize = 300;
+    const BUDGET_MS: u64 = 600;
+    // An answer that comes later than this after the request's time counts as lost.
+    const MAX_LATENESS: Duration = Duration::from_millis(500);
+    const REQUESTS: usize = 100;
+    const INTERVAL: Duration = Duration::from_millis(20);
+    let backends = [(); 3].map(|()| Backend::start(|_| ok("good")));
+    let shell = format!("ulimit -n {SOCKET_LIMIT}; ");
+    let (node, _watch, _discovery) =
+        serving_node_with(&settings(BUDGET_MS, ""), &backends.each_ref(), SOCKET_LIMIT, &shell);
+    for length in [6_000, 600_000] {
+        let _crowd: Vec<_> = (0..CROWD)
+            .map(|_| {
+                let mut stream = TcpStream::connect(node.address).expect("room in the queue");
+                let headers = format!("{}Content-Length: {length}\r\n", common_headers(BUDGET_MS));
+                let head = format!("POST /correct/1f HTTP/1.1\r\nHost: a\r\n{headers}\r\n");
+                let _ = stream.write_all(&[head.as_bytes(), &[b'x'; 500]].concat());
+                stream
+            })
+            .collect();
+        let answered = std::thread::scope(|scope| {
+            let requests: Vec<_> = (0..REQUESTS)
+                .map(|_| {
+                    std::thread::sleep(INTERVAL);
+                    scope.spawn(|| {
+                        let mut client = node.client();
+                        let sent = Instant::now();
+                        client.send("POST /correct/1f", &common_headers(BUDGET_MS), b"whole");
+                        let answer = client.try_answer();
+                        let late = sent.elapsed().saturating_sub(Duration::from_millis(BUDGET_MS));
+                        assert!(late < MAX_LATENESS, "{length}: {late:?} after its time: {answer:?}");
+                        answer.is_ok_and(|answer| answer.is_some())
+                    })
+                })
+                .collect();
+            requests
+                .into_iter()
+                .map(|request| request.join().expect("in time"))
+                .filter(|answered| *answered)
+                .count()
+        });
+        assert!(answered >= REQUESTS / 2, "{length}: {answered} of {REQUESTS} were answered in time");
+    }
+}
