Don't take a discarded body for the next request's head

Cause: a head of more than 8 KiB waits until memory is reserved for it. What is read between two requests was taken for the next head, and the rest of a body that is discarded is read there too.

Change: each chunk of a discarded body sets the length of the next head back.

--- a/src/bin/sillward/client.rs
+++ b/src/bin/sillward/client.rs
@@ -45,8 +45,8 @@
     pub liveness: Liveness,
     /// What the response in progress has given the connection to write.
     pub write_backlog: Rc<WriteBacklog>,
-    /// The bytes that were read since the last request: those of the next one's head.
-    pub head_bytes: Cell<usize>,
+    /// The bytes that were read since the last request or chunk of a body: those of the next head.
+    pub head_bytes: Rc<Cell<usize>>,
     /// Whether the request's body is being read and its next bytes have not come.
     pub awaiting_body: Cell<bool>,
     /// How far a streamed request body has got.
@@ -93,7 +93,7 @@
             close: Notify::new(),
             liveness,
             write_backlog: Rc::default(),
-            head_bytes: Cell::new(0),
+            head_bytes: Rc::default(),
             awaiting_body: Cell::new(false),
             upload: RefCell::default(),
             head_memory: RefCell::default(),
--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -452,7 +452,7 @@
         // The settings may change while the body arrives: the request goes by those in force when it began.
         let site = self.live_settings.get();
         if head.uri.path() == READINESS_PATH {
-            discard_later(body);
+            discard_later(body, client_connection);
             return Ok(Some(self.readiness()));
         }
         let parsed = RequestHead::parse(&site, &head);
@@ -471,7 +471,7 @@
         };
         let body = reader.read(body).await.inspect_err(|rejection| self.log_refusal(rejection))?;
         if !head.allows_body() && !body.is_empty() {
-            body.rest.into_iter().for_each(discard_later);
+            body.rest.into_iter().for_each(|rest| discard_later(rest, client_connection));
             return Err((StatusCode::BAD_REQUEST, "a body where none belongs"));
         }
         let (body, exchange_memory) = self.reserve_exchange(body, &mut reader).await?;
@@ -538,11 +538,12 @@
             (Err(_), false) => return Ok(None), // an attempt noticed the disconnect before the runtime did
         };
         if let Some(unread) = unread {
+            let head_bytes = client_connection.head_bytes.clone();
             // If the rest of the body stayed unread, closing the connection would reset it and lose the
             // response.
             spawn_local(async move {
                 if let Ok((rest, idle_budget)) = unread.await {
-                    discard(rest, idle_budget).await;
+                    discard(rest, idle_budget, head_bytes).await;
                 }
             });
         }
@@ -567,7 +568,7 @@
         match reserved {
             Ok(reservation) => Ok((body, Rc::new(reservation))),
             Err(rejection) => {
-                body.rest.into_iter().for_each(discard_later);
+                body.rest.into_iter().for_each(|rest| discard_later(rest, reader.client));
                 self.log_refusal(&rejection);
                 Err(rejection)
             }
--- a/src/bin/sillward/request_body.rs
+++ b/src/bin/sillward/request_body.rs
@@ -10,7 +10,9 @@
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
+use std::cell::Cell;
 use std::future::Future;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -63,7 +65,7 @@
     /// Reads a body as far as it is buffered. One that is longer is to be streamed.
     pub async fn read(&mut self, mut body: Incoming) -> Result<ReadBody, Rejection> {
         if body.size_hint().lower() > MAX_BODY_BYTES {
-            discard_later(body);
+            discard_later(body, self.client);
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 32 MiB"));
         }
         let length = body.size_hint().exact().map(|length| length as usize);
@@ -77,7 +79,7 @@
                     let received_at = arrived_by.unwrap_or_else(Instant::now);
                     return Ok(ReadBody { read: vec![buffer.finish()], rest: None, received_at });
                 }
-                Err(rejection) => return Err(drop_or_discard(body, rejection)),
+                Err(rejection) => return Err(drop_or_discard(body, self.client, rejection)),
             };
             arrived_by = arrived_by.filter(|_| waited < READ_DELAY);
             if buffer.len() + data.len() > threshold {
@@ -91,7 +93,7 @@
                 match self.wait(self.memory.reserve_arriving(wanted)).await {
                     Ok(reservation) => buffer.set_reservation(reservation),
                     Err(rejection) => {
-                        discard_later(body);
+                        discard_later(body, self.client);
                         return Err(rejection);
                     }
                 }
@@ -108,11 +110,11 @@
             let data = match self.next_chunk(&mut body).await {
                 Ok(Some((data, _))) => data,
                 Ok(None) => return rejection,
-                Err(error) => return drop_or_discard(body, error),
+                Err(error) => return drop_or_discard(body, self.client, error),
             };
             length += data.len();
             if length > MAX_BUFFERED_BYTES {
-                discard_later(body);
+                discard_later(body, self.client);
                 return rejection;
             }
         }
@@ -163,26 +165,29 @@
 }
 
 /// Ends the reading of a body for this reason. Unless it is its client's fault, the rest is discarded.
-fn drop_or_discard(body: Incoming, rejection: Rejection) -> Rejection {
+fn drop_or_discard(body: Incoming, client: &Client, rejection: Rejection) -> Rejection {
     if rejection == TERMINATING {
-        discard_later(body);
+        discard_later(body, client);
     }
     rejection
 }
 
 /// Discards a body whose request has been answered, in the background.
-pub fn discard_later(body: Incoming) {
-    spawn_local(discard(body, IdleBudget::until(Instant::now() + READ_TIMEOUT)));
+pub fn discard_later(body: Incoming, client: &Client) {
+    let idle_budget = IdleBudget::until(Instant::now() + READ_TIMEOUT);
+    spawn_local(discard(body, idle_budget, client.head_bytes.clone()));
 }
 
 /// Reads a body to its end, up to the longest allowed, and discards it, so that its sender sees the response
-/// instead of a reset.
-pub async fn discard(mut body: Incoming, mut idle_budget: IdleBudget) {
+/// instead of a reset. What is discarded is no part of the next request's head, whose length so far is in
+/// `head_bytes`.
+pub async fn discard(mut body: Incoming, mut idle_budget: IdleBudget, head_bytes: Rc<Cell<usize>>) {
     let mut length = 0;
     while length <= MAX_BODY_BYTES {
         let waited_since = Instant::now();
         let Ok(Some(Ok(frame))) = timeout(idle_budget.remaining(), body.frame()).await else { return };
         let data = frame.into_data().unwrap_or_default();
+        head_bytes.set(0);
         idle_budget.record(waited_since.elapsed(), data.len());
         length += data.len() as u64;
     }
--- a/tests/bodies/mod.rs
+++ b/tests/bodies/mod.rs
@@ -322,3 +322,27 @@
     release.send(()).expect("a backend waits");
     assert_eq!(second.answer().expect("an answer").status(), 200);
 }
+
+/// Guards against a discarded body that is taken for the next request's head, which then waits for memory.
+#[test]
+fn a_connection_goes_on_after_a_discarded_body_though_memory_is_short() {
+    const PROMPTLY: std::time::Duration = std::time::Duration::from_secs(1);
+    let backend = Backend::start(|_| ok("fine"));
+    let discovery = Discovery::start();
+    let config = config(discovery.address, &settings(DEADLINE_MS, ""), 1024)
+        .replace(r#""memory_mb":192"#, r#""memory_mb":0"#);
+    let node = Node::start(&config, "");
+    let line = list(8, true, &[entry("s-0", backend.address, "in_service")]);
+    let _watch = discovery.send_list_until(&line, || node.is_ready(), "readiness");
+    // It holds the memory that there is for requests which are still arriving.
+    let mut holding = node.client();
+    let headers = common_headers(DEADLINE_MS);
+    let head = format!("POST /correct/1 HTTP/1.1\r\nHost: a\r\n{headers}Content-Length: 60000\r\n\r\n");
+    holding.write(&[head.as_bytes(), &bytes(50_000)].concat());
+    let mut client = node.client();
+    let answer = client.request("POST /unknown/1", &common_headers(DEADLINE_MS), &bytes(200_000));
+    assert_eq!(answer.status(), 404);
+    let sent = std::time::Instant::now();
+    assert_eq!(client.request_read().status(), 200);
+    assert!(sent.elapsed() < PROMPTLY, "answered after {:?}", sent.elapsed());
+}
