Refuse a streamed upload that waited unread while its client may have left

Cause: such an upload waits unread, here for memory (up to a quarter of its time), and a close behind more than the receive window takes is not visible before the body is read.

Change: a body that is to be streamed waits for memory for 100 ms at most.

--- a/src/bin/sillward/backend/exchange.rs
+++ b/src/bin/sillward/backend/exchange.rs
@@ -1,7 +1,7 @@
 //! Attempts and probes: writes a request to a connection of the pool and reads the response.
 
 use super::{Connection, ConnectionPool};
-use crate::messages::{Attempt, AttemptResult, Message, StopReason};
+use crate::messages::{Attempt, AttemptResult, ForwardedRequest, Message, StopReason};
 use crate::upload::AttemptBody;
 use bytes::Bytes;
 use hillpick::control::log::log;
@@ -22,6 +22,9 @@
 /// How many connections an attempt may find broken in a row before its request is written to one of them.
 const MAX_BROKEN_CONNECTIONS: usize = 4;
 
+/// How long after its client has closed its connection an attempt may still begin.
+const MAX_ATTEMPT_AFTER_CLOSE: Duration = Duration::from_millis(100);
+
 /// How an attempt ended: its outcome, a load report if there is one, and the body of a buffered response.
 pub(super) type AttemptEnd = (Outcome, Option<LoadReport>, Option<Bytes>);
 
@@ -160,7 +163,7 @@
             || grace_over
             || window_over
             || forward.client.check_disconnected()
-            || forward.body.is_buffered() && forward.client.may_be_disconnected()
+            || may_have_left(forward)
         {
             return None;
         }
@@ -249,6 +252,16 @@
     }
 }
 
+/// Whether the client may have closed its connection too long ago behind bytes that the kernel has no room for:
+/// later requests, or its own body as long as nothing of that is taken.
+fn may_have_left(forward: &ForwardedRequest) -> bool {
+    let is_held_back = match forward.body.upload_progress() {
+        None => true,
+        Some(progress) => !progress.has_begun() && progress.held_back_for() > MAX_ATTEMPT_AFTER_CLOSE,
+    };
+    is_held_back && forward.client.may_be_disconnected()
+}
+
 fn host_header(address: SocketAddr) -> HeaderValue {
     HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static("backend"))
 }
--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -58,6 +58,9 @@
 /// How often a process that starts beside another checks whether it holds a server list and can accept
 /// clients.
 const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// A body that is to be streamed waits unread for memory no longer than this: its client may leave meanwhile
+/// without that being visible.
+const MAX_UNREAD_WAIT: Duration = Duration::from_millis(100);
 /// The path of the readiness check.
 const READINESS_PATH: &str = "/health/ready";
 /// The least time between two lines of the log on refusals for lack of memory.
@@ -563,7 +566,10 @@
                 let reserved = timeout_at(wait_until, self.memory.reserve(EXCHANGE_BYTES)).await;
                 reserved.map_err(|_| OUT_OF_MEMORY)
             }
-            Some(_) => reader.wait(self.memory.reserve_arriving(EXCHANGE_BYTES)).await,
+            Some(_) => {
+                reader.memory_wait = reader.memory_wait.min(MAX_UNREAD_WAIT);
+                reader.wait(self.memory.reserve_arriving(EXCHANGE_BYTES)).await
+            }
         };
         match reserved {
             Ok(reservation) => Ok((body, Rc::new(reservation))),
--- a/src/bin/sillward/messages.rs
+++ b/src/bin/sillward/messages.rs
@@ -172,11 +172,6 @@
         self.upload_progress().is_some_and(|progress| !progress.is_complete())
     }
 
-    /// Whether all of the body has been read from the client.
-    pub fn is_buffered(&self) -> bool {
-        matches!(self, RequestBody::Buffered(_))
-    }
-
     /// How far a streamed body has got.
     pub fn upload_progress(&self) -> Option<&UploadProgress> {
         match self {
