A queue of messages in which every client's request has its slots

By reading: each request waits, without a limit, for up to three slots of the node's queue of 4,096 and keeps two as long as it is in progress. With some 2,000 requests in progress (4,096 descriptors) further ones would wait for others to end. Up to 1,024 descriptors the queue was long enough. The queue now has three slots for each client beside its 4,096; it takes memory only as it fills.

--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -45,10 +45,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
-/// Capacity of the node's message queue. Each request keeps one slot reserved for the disconnect of its
-/// client.
+/// Room in the node's message queue beside the slots that requests reserve.
 const MESSAGE_QUEUE: usize = 4096;
 
+/// Slots that a request in progress reserves at most: for itself, its body's last byte, and the disconnect of its
+/// client. Requests must not wait for slots, as that would have no end.
+const QUEUE_SLOTS_PER_REQUEST: usize = 3;
+
 /// Listen backlog, the most that kernels allow by default: in a connection flood the other clients must fit
 /// in as well.
 const LISTEN_BACKLOG: u32 = 4096;
@@ -118,7 +121,8 @@
     }
 
     let clock = Clock::start();
-    let (messages, message_queue) = mpsc::channel(MESSAGE_QUEUE);
+    let queue_length = MESSAGE_QUEUE + QUEUE_SLOTS_PER_REQUEST * config.max_client_connections;
+    let (messages, message_queue) = mpsc::channel(queue_length);
     let (commands, discovery_commands) = mpsc::channel(16);
     let live_settings = LiveSettings::new(config.site.clone());
     let memory = MemoryBudget::new(config.buffer_bytes);
