--- a/src/policy/repeats.rs
+++ b/src/policy/repeats.rs
@@ -1,5 +1,5 @@
-//! Requests that come again: a request that must not be repeated is recognised by its client's id, also when its
-//! client has left and comes again on another connection, or to another process of the node.
+//! Requests that come again: a request that must not be repeated is recognised by its client's id, also when
+//! its client has left and comes again on another connection, or to another process of the node.
 
 use crate::interface::{DedupScope, RequestId, RetrySafety};
 use std::collections::{HashMap, VecDeque};
