Don't refuse an upload because it has waited for a server

Likely cause, not traced further: the rule of that no attempt begins with a body held back for more than 100 ms; a retry on a busy machine can take that long.

--- a/src/bin/sillward/backend/exchange.rs
+++ b/src/bin/sillward/backend/exchange.rs
@@ -22,9 +22,6 @@
 /// How many connections an attempt may find broken in a row before its request is written to one of them.
 const MAX_BROKEN_CONNECTIONS: usize = 4;
 
-/// How long after its client has closed its connection an attempt may still begin.
-const MAX_ATTEMPT_AFTER_CLOSE: Duration = Duration::from_millis(100);
-
 /// How an attempt ended: its outcome, a load report if there is one, and the body of a buffered response.
 pub(super) type AttemptEnd = (Outcome, Option<LoadReport>, Option<Bytes>);
 
@@ -252,14 +249,9 @@
     }
 }
 
-/// Whether the client may have closed its connection too long ago behind bytes that the kernel has no room for:
-/// later requests, or its own body as long as nothing of that is taken.
+/// Whether the client may have closed its connection behind later requests for which the kernel has no room.
 fn may_have_left(forward: &ForwardedRequest) -> bool {
-    let is_held_back = match forward.body.upload_progress() {
-        None => true,
-        Some(progress) => !progress.has_begun() && progress.held_back_for() > MAX_ATTEMPT_AFTER_CLOSE,
-    };
-    is_held_back && forward.client.may_be_disconnected()
+    forward.body.upload_progress().is_none() && forward.client.may_be_disconnected()
 }
 
 fn host_header(address: SocketAddr) -> HeaderValue {
--- a/src/bin/sillward/upload.rs
+++ b/src/bin/sillward/upload.rs
@@ -107,11 +107,6 @@
         self.caught_up_at.set(at);
     }
 
-    /// How long it has not been known whether the client has sent more than has arrived.
-    pub fn held_back_for(&self) -> Duration {
-        self.caught_up_at.get().elapsed()
-    }
-
     /// The earliest time at which the client may have sent its last byte. While the backend takes nothing, the
     /// client's machine buffers what the client writes, and this machine can't see that.
     pub fn possibly_sent_at(&self) -> Instant {
