--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,410 @@
+//! The cases. Each returns how the rule was broken, an entry each time.
+
+use crate::discovery;
+use crate::http::{Client, describe};
+use crate::node::{Node, Setup};
+use crate::record;
+use crate::server::{Server, answer};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+type Outcome = Result<Vec<String>, String>;
+
+const VIEW: &str = r#"{"AimStretch":0.0,"Credit":1.0,"GiveUp":1200.0,"Group":"all","Idempotency":"free","LateWorth":0.0,
+"Name":"view-shifts","Stream":false,"Target":470.0,"Window":5000.0}"#;
+const CLAIM: &str = r#"{"AimStretch":0.0,"Credit":3.0,"GiveUp":1200.0,"Group":"cell","Idempotency":"guarded","LateWorth":0.0,
+"Name":"claim-shift","Stream":false,"Target":470.0,"Window":12000.0}"#;
+
+/// Plays a case by its name.
+pub fn play(case: &str, trouble: bool) -> Outcome {
+    match case {
+        "doubled" => doubled(trouble),
+        "coding" => coding(trouble),
+        "reload" => reload(trouble),
+        "shutdown" => shutdown(trouble),
+        "long-head" => long_head(trouble),
+        "improper" => improper(trouble),
+        _ => Err(format!("no case {case}")),
+    }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn setup(discovery: SocketAddr) -> Setup {
+    Setup { discovery, classes: format!("[{VIEW},{CLAIM}]"), memory_mb: 192, sockets: 1024 }
+}
+
+/// A request to `view-shifts`.
+fn view(id: &str) -> String {
+    format!(
+        "GET /view-shifts/1f HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: {id}\r\nX-Budget-Ms: 1200\r\n\r\n"
+    )
+}
+
+/// A request to `claim-shift`.
+fn claim(id: &str) -> String {
+    format!(
+        "POST /claim-shift/1f HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: {id}\r\nX-Budget-Ms: 1200\r\n\
+        Idempotency-Key: key-of-{id}\r\nContent-Length: 5\r\n\r\nclaim"
+    )
+}
+
+/// Lets a new node learn from some requests that its servers answer.
+fn warm_up(node: &Node, count: usize) -> Result<(), String> {
+    let mut client = Client::connect(node.address).map_err(|e| e.to_string())?;
+    for i in 0..count {
+        let sent = client.send(view(&format!("warm-{i}")));
+        sent.and_then(|()| client.answer(ms(2000))).map_err(|e| format!("at the start: {e}"))?;
+    }
+    record::line(format!("{count} requests at the start"));
+    Ok(())
+}
+
+/// The rule on lost requests: a client is served the body that a server made for its request. Disruption: a server's
+/// second answer to a request, 10 ms after the first.
+fn doubled(trouble: bool) -> Outcome {
+    let mut broken = Vec::new();
+    for round in 0..8 {
+        let doubled = Arc::new(AtomicBool::new(!trouble));
+        let started = Instant::now();
+        let handler = move |stream: &mut std::net::TcpStream, request: &crate::http::Message| {
+            thread::sleep(ms(30));
+            let body = format!("the roster for {}", request.id());
+            let open = answer(stream, "200 OK", "", &body);
+            if started.elapsed() > ms(1200)
+                && request.id().starts_with("call-")
+                && !doubled.swap(true, Ordering::SeqCst)
+            {
+                record::line(format!("a second answer to {} follows", request.id()));
+                let Ok(mut again) = stream.try_clone() else { return open };
+                thread::spawn(move || {
+                    thread::sleep(ms(10));
+                    answer(&mut again, "200 OK", "", &body)
+                });
+            }
+            open
+        };
+        let handler = Arc::new(handler);
+        let (first, second) = (handler.clone(), handler);
+        let servers = [
+            Server::start("s-1", 1, move |stream, request| first(stream, request))?,
+            Server::start("s-2", 2, move |stream, request| second(stream, request))?,
+        ];
+        let node = Node::start(&setup(discovery::start(&servers.each_ref())?))?;
+        warm_up(&node, 20)?;
+        let clients: Vec<_> = (0..4)
+            .map(|client| {
+                let address = node.address;
+                thread::spawn(move || -> Result<Vec<String>, String> {
+                    let mut broken = Vec::new();
+                    let mut connection = Client::connect(address).map_err(|e| e.to_string())?;
+                    for i in 0..60 {
+                        let id = format!("call-{round}-{client}-{i}");
+                        let sent = connection.send(view(&id));
+                        let answer = sent.and_then(|()| connection.answer(ms(2000)));
+                        record::line(format!("client {client}: {id}: {}", describe(&answer)));
+                        let Ok(answer) = answer else {
+                            connection = Client::connect(address).map_err(|e| e.to_string())?;
+                            continue;
+                        };
+                        let body = String::from_utf8_lossy(&answer.body).into_owned();
+                        if answer.status() == 200 && body != format!("the roster for {id}") {
+                            broken.push(format!("{id} was served with `{body}`"));
+                        }
+                    }
+                    Ok(broken)
+                })
+            })
+            .collect();
+        for client in clients {
+            broken.extend(client.join().map_err(|_| "a client broke")??);
+        }
+        crate::node::kill_all();
+        if !broken.is_empty() || (!trouble && round == 1) {
+            break;
+        }
+    }
+    Ok(broken)
+}
+
+/// The rule on lost requests: what can't be read is a failed attempt, and nothing broken is passed on as if it were
+/// whole. Disruption: one answer in ten is spoilt, its transfer coding is none that HTTP knows.
+fn coding(trouble: bool) -> Outcome {
+    let count = Arc::new(AtomicUsize::new(0));
+    let handler = move |stream: &mut std::net::TcpStream, request: &crate::http::Message| {
+        thread::sleep(ms(5));
+        let body = format!("the roster for {}", request.id());
+        let number = count.fetch_add(1, Ordering::SeqCst);
+        if !trouble || number % 10 != 9 {
+            return answer(stream, "200 OK", "", &body);
+        }
+        record::line(format!("the answer to {} is spoilt", request.id()));
+        let spoilt = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkd\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
+            body.len()
+        );
+        let _ = stream.write_all(spoilt.as_bytes());
+        false // a server that can't frame its answer ends the connection
+    };
+    let handler = Arc::new(handler);
+    let mut servers = Vec::new();
+    for (name, cell) in [("s-1", 1), ("s-2", 2), ("s-3", 2)] {
+        let handler = handler.clone();
+        servers.push(Server::start(name, cell, move |stream, request| handler(stream, request))?);
+    }
+    let node = Node::start(&setup(discovery::start(&servers.iter().collect::<Vec<_>>())?))?;
+    let mut broken = Vec::new();
+    let mut connection = Client::connect(node.address).map_err(|e| e.to_string())?;
+    for i in 0..200 {
+        let id = format!("call-{i}");
+        let sent = connection.send(if i % 4 == 0 { claim(&id) } else { view(&id) });
+        let answer = sent.and_then(|()| connection.answer(ms(2000)));
+        record::line(format!("{id}: {}", describe(&answer)));
+        let Ok(answer) = answer else {
+            connection = Client::connect(node.address).map_err(|e| e.to_string())?;
+            continue;
+        };
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        if answer.status() == 200 && body != format!("the roster for {id}") {
+            broken.push(format!("{id} was served, as a whole answer, with {body:?}"));
+        }
+    }
+    Ok(broken)
+}
+
+/// The rule on duplicate effects. Disruption: a new configuration, with SIGHUP, that gives a class another group and
+/// leaves out a key that may be absent.
+fn reload(trouble: bool) -> Outcome {
+    let runs = Arc::new(Mutex::new(BTreeMap::<String, Vec<u16>>::new()));
+    let mut servers = Vec::new();
+    for (name, cell) in [("s-1", 1), ("s-2", 1), ("s-3", 2), ("s-4", 2)] {
+        let runs = runs.clone();
+        servers.push(Server::start(name, cell, move |stream, request| {
+            let id = request.id();
+            let mut runs = runs.lock().unwrap_or_else(|broken| broken.into_inner());
+            let cells = runs.entry(id.clone()).or_default();
+            cells.push(cell);
+            let attempts = cells.len();
+            drop(runs);
+            // One claim in four ends in an error of the server at its first attempt: it may have run.
+            let number = id.rsplit('-').next().and_then(|number| number.parse::<u32>().ok());
+            if id.starts_with("claim-") && attempts == 1 && number.is_some_and(|number| number % 4 == 0) {
+                return answer(stream, "500 Internal Server Error", "", "");
+            }
+            answer(stream, "200 OK", "", "the roster")
+        })?);
+    }
+    let address = discovery::start(&servers.iter().collect::<Vec<_>>())?;
+    let all = CLAIM.replace(r#""Group":"cell""#, r#""Group":"all""#);
+    let node = Node::start(&Setup { classes: format!("[{VIEW},{all}]"), ..setup(address) })?;
+    thread::sleep(ms(1000)); // no SIGHUP in the program's first second
+    warm_up(&node, 60)?;
+    // The new file: claims are repeated within a rack alone.
+    let absent =
+        |class: &str| if trouble { class.replace(r#""AimStretch":0.0,"#, "") } else { class.to_owned() };
+    let classes = format!("[{},{}]", absent(VIEW), absent(CLAIM));
+    node.configure(&Setup { classes, ..setup(address) })?;
+    node.signal("HUP")?;
+    thread::sleep(ms(2000)); // clients go by the new settings 1.2 s later
+    let mut connection = Client::connect(node.address).map_err(|e| e.to_string())?;
+    for i in 0..120 {
+        let id = if i % 2 == 0 { format!("claim-{}", i / 2) } else { format!("view-{i}") };
+        let sent = connection.send(if i % 2 == 0 { claim(&id) } else { view(&id) });
+        let answer = sent.and_then(|()| connection.answer(ms(2000)));
+        record::line(format!("{id}: {}", describe(&answer)));
+        if answer.is_err() {
+            connection = Client::connect(node.address).map_err(|e| e.to_string())?;
+        }
+    }
+    let runs = runs.lock().unwrap_or_else(|broken| broken.into_inner());
+    let twice = runs
+        .iter()
+        .filter(|(id, cells)| id.starts_with("claim-") && cells.windows(2).any(|two| two[0] != two[1]));
+    Ok(twice.map(|(id, cells)| format!("{id} may have run in each of the racks {cells:?}")).collect())
+}
+
+/// The rule on lost requests, at a planned restart. Disruption: connections to one of three servers come up late while
+/// the node is told to end.
+fn shutdown(trouble: bool) -> Outcome {
+    const KILL_AFTER: Duration = Duration::from_millis(1900); // the longest deadline, 1.2 s, and 0.7 s
+    const LAST_BYTE: Duration = Duration::from_millis(1850);
+    const PIECE: usize = 3200;
+    let work = |stream: &mut std::net::TcpStream, request: &crate::http::Message| {
+        thread::sleep(ms(if request.body.is_empty() { 5 } else { 160 }));
+        // The servers close idle connections at once, so each attempt opens one.
+        answer(stream, "200 OK", "Connection: close\r\n", "the roster");
+        false
+    };
+    let servers =
+        [Server::start("s-1", 1, work)?, Server::start("s-2", 1, work)?, Server::start("s-3", 1, work)?];
+    let node = Arc::new(Node::start(&setup(discovery::start(&servers.each_ref())?))?);
+    warm_up(&node, 100)?;
+    let filling = if trouble { servers[0].stop_accepting() } else { Vec::new() };
+    // The clients keep the connections that they have.
+    let mut connections = Vec::new();
+    for _ in 0..12 {
+        connections.push(Client::connect(node.address).map_err(|e| e.to_string())?);
+    }
+    thread::sleep(ms(50));
+    node.signal("TERM")?;
+    let told = Instant::now();
+    let until = move |after: Duration| thread::sleep(after.saturating_sub(told.elapsed()));
+    let uploads: Vec<_> = connections
+        .into_iter()
+        .enumerate()
+        .map(|(i, mut connection)| {
+            thread::spawn(move || -> Option<String> {
+                let begin = ms(430 + 6 * i as u64);
+                let pieces = ((LAST_BYTE - begin).as_millis() / 50) as usize;
+                let length = pieces * PIECE; // 64 kB a second
+                until(begin);
+                let head = format!(
+                    "POST /claim-shift/1f HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: call-{i}\r\n\
+                    X-Budget-Ms: 1200\r\nIdempotency-Key: key-{i}\r\nContent-Length: {length}\r\n\r\n"
+                );
+                connection.send(head).ok()?;
+                record::line(format!("call-{i}: sends {length} bytes"));
+                let mut whole_at = None;
+                for piece in 1..=pieces {
+                    if connection.send([b'c'; PIECE]).is_err() {
+                        break;
+                    }
+                    if piece == pieces {
+                        whole_at = Some(told.elapsed());
+                        break;
+                    }
+                    until(begin + ms(50) * piece as u32);
+                    let mut byte = [0];
+                    let _ = connection.stream.set_nonblocking(true);
+                    let answered = connection.stream.peek(&mut byte).is_ok();
+                    let _ = connection.stream.set_nonblocking(false);
+                    if answered {
+                        break;
+                    }
+                }
+                let answer = connection.answer(ms(3000));
+                record::line(format!(
+                    "call-{i}: last byte {} after SIGTERM; {}",
+                    whole_at.map_or("not sent".to_owned(), |at| format!("{} ms", at.as_millis())),
+                    describe(&answer)
+                ));
+                // Taken: the last byte was written well before the end of the process.
+                let taken = whole_at.is_some_and(|at| at + ms(50) < KILL_AFTER);
+                (taken && answer.is_err()).then(|| format!("call-{i} was taken and got no answer"))
+            })
+        })
+        .collect();
+    until(KILL_AFTER);
+    if node.has_ended() {
+        record::line("the node has ended by itself");
+    } else {
+        node.signal("KILL")?;
+    }
+    let broken = uploads.into_iter().filter_map(|upload| upload.join().ok().flatten()).collect();
+    drop(filling);
+    Ok(broken)
+}
+
+/// The rule on lost requests: each gets its answer in time. Disruption: peers that stop half-way in a request.
+fn long_head(trouble: bool) -> Outcome {
+    const PEERS: usize = 150;
+    let servers = [
+        Server::start("s-1", 1, |stream, _| answer(stream, "200 OK", "", "the roster"))?,
+        Server::start("s-2", 2, |stream, _| answer(stream, "200 OK", "", "the roster"))?,
+    ];
+    let node = Node::start(&Setup { memory_mb: 32, ..setup(discovery::start(&servers.each_ref())?) })?;
+    warm_up(&node, 100)?;
+    let over = Arc::new(AtomicBool::new(false));
+    let address = node.address;
+    let peers: Vec<_> = (0..if trouble { PEERS } else { 0 })
+        .map(|_| {
+            let over = over.clone();
+            thread::spawn(move || {
+                while !over.load(Ordering::SeqCst) {
+                    let half = format!("GET /view-shifts/{}", "a".repeat(8300));
+                    let ended = Client::connect(address).and_then(|mut peer| {
+                        peer.send(half)?;
+                        peer.answer(ms(4000))
+                    });
+                    if ended.is_err() {
+                        thread::sleep(ms(20));
+                    }
+                }
+            })
+        })
+        .collect();
+    thread::sleep(ms(500));
+    let clients: Vec<_> = (0..20)
+        .map(|i| {
+            thread::sleep(ms(200));
+            thread::spawn(move || {
+                let mut broken = Vec::new();
+                let Ok(mut connection) = Client::connect(address) else { return broken };
+                for long in [false, true] {
+                    let id = format!("call-{i}-{}", if long { "long" } else { "short" });
+                    let query = "b".repeat(if long { 8200 } else { 10 });
+                    let begun = Instant::now();
+                    let request = format!(
+                        "GET /view-shifts/1f?volunteers={query} HTTP/1.1\r\nHost: service.internal\r\n\
+                        X-Call-Id: {id}\r\nX-Budget-Ms: 1200\r\n\r\n"
+                    );
+                    let answer = connection.send(request).and_then(|()| connection.answer(ms(5000)));
+                    let result =
+                        format!("{id}: {} after {} ms", describe(&answer), begun.elapsed().as_millis());
+                    record::line(&result);
+                    // The client waits 1.2 s; up to half a second later an answer only earns nothing.
+                    if answer.is_err() || begun.elapsed() > ms(1200 + 500) {
+                        broken.push(result);
+                        break;
+                    }
+                }
+                broken
+            })
+        })
+        .collect();
+    let broken = clients.into_iter().flat_map(|client| client.join().unwrap_or_default()).collect();
+    over.store(true, Ordering::SeqCst);
+    drop(peers);
+    Ok(broken)
+}
+
+/// The rule on lost requests: a peer that sends what is no proper request gets an error or a close, and is not served as
+/// though its request had run. Disruption: such peers.
+fn improper(trouble: bool) -> Outcome {
+    let mut servers = Vec::new();
+    for (name, cell) in [("s-1", 1), ("s-2", 2)] {
+        servers.push(Server::start(name, cell, |stream, _| answer(stream, "200 OK", "", "the roster"))?);
+    }
+    let node = Node::start(&setup(discovery::start(&servers.iter().collect::<Vec<_>>())?))?;
+    warm_up(&node, 60)?;
+    let host = "Host: service.internal\r\n";
+    let mut broken = Vec::new();
+    for round in 0..5 {
+        let id = format!("X-Call-Id: call-{round}\r\n");
+        let forms = [
+            ("no Host", view(&format!("call-{round}-0")).replace(host, "")),
+            (
+                "two Hosts",
+                view(&format!("call-{round}-1")).replace(host, &format!("{host}Host: other.internal\r\n")),
+            ),
+            ("two ids", view(&format!("call-{round}-2")).replace(host, &format!("{host}{id}"))),
+        ];
+        for (name, request) in forms {
+            let request = if trouble { request } else { view(&format!("call-{round}-{}", name.len())) };
+            let mut connection = Client::connect(node.address).map_err(|e| e.to_string())?;
+            let answer = connection.send(request).and_then(|()| connection.answer(ms(3000)));
+            record::line(format!("a request with {name}: {}", describe(&answer)));
+            if trouble && answer.as_ref().is_ok_and(|answer| answer.status() == 200) {
+                broken.push(format!("a request with {name} was forwarded and served"));
+            }
+        }
+    }
+    Ok(broken)
+}
