Review case 6: an upgrade beside a crowd takes more memory than the node may

Cause: what the old process has taken for its crowd is not given back while the new one takes its half for the same crowd.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -6,7 +6,7 @@
 use crate::record;
 use crate::server::{Server, answer};
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -30,6 +30,8 @@
         "shutdown" => shutdown(trouble),
         "long-head" => long_head(trouble),
         "improper" => improper(trouble),
+        "upgrade" => upgrade(trouble),
+        "left-upload" => left_upload(trouble),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -39,7 +41,7 @@
 }
 
 fn setup(discovery: SocketAddr) -> Setup {
-    Setup { discovery, classes: format!("[{VIEW},{CLAIM}]"), memory_mb: 192, sockets: 1024 }
+    Setup { discovery, classes: format!("[{VIEW},{CLAIM}]"), memory_mb: 192, sockets: 1024, ops: None }
 }
 
 /// A request to `view-shifts`.
@@ -329,7 +331,7 @@
 
 /// The rule on lost requests: each gets its answer in time. Disruption: peers that stop half-way in a request.
 fn long_head(trouble: bool) -> Outcome {
-    const PEERS: usize = 150;
+    const PEERS: usize = 700;
     let servers = [
         Server::start("s-1", 1, |stream, _| answer(stream, "200 OK", "", "the roster"))?,
         Server::start("s-2", 2, |stream, _| answer(stream, "200 OK", "", "the roster"))?,
@@ -423,3 +425,158 @@
     }
     Ok(broken)
 }
+
+/// The limit on memory, in an upgrade. Disruption: clients read long answers slowly, and peers stop half-way.
+fn upgrade(trouble: bool) -> Outcome {
+    const MEMORY_MB: u32 = 32;
+    const READERS: usize = 340; // clients hold no more than a third of the descriptors
+    const PEERS: usize = 700;
+    const ANSWER_BYTES: usize = 4_000_000;
+    let mut servers = Vec::new();
+    let roster = Arc::new("r".repeat(ANSWER_BYTES));
+    for (name, cell) in [("s-1", 1), ("s-2", 1), ("s-3", 2), ("s-4", 2)] {
+        let roster = roster.clone();
+        servers.push(Server::start(name, cell, move |stream, request| {
+            answer(stream, "200 OK", "", if request.start.contains("long") { &roster } else { "the roster" })
+        })?);
+    }
+    let address = discovery::start(&servers.iter().collect::<Vec<_>>())?;
+    let with_ops = || -> Result<Setup, String> {
+        let ops = Some(crate::node::free_address()?);
+        Ok(Setup { memory_mb: MEMORY_MB, ops, ..setup(address) })
+    };
+    let old = Node::start(&with_ops()?)?;
+    warm_up(&old, 100)?;
+    let over = Arc::new(AtomicBool::new(false));
+    let node = old.address;
+    let spawn = |run: Box<dyn Fn() + Send>| {
+        let over = over.clone();
+        let run = move || {
+            while !over.load(Ordering::SeqCst) {
+                run();
+            }
+        };
+        thread::Builder::new().stack_size(128 * 1024).spawn(run).map(drop).map_err(|e| e.to_string())
+    };
+    let served = Arc::new(AtomicUsize::new(0));
+    for i in 0..if trouble { READERS } else { 8 } {
+        let (served, count) = (served.clone(), AtomicUsize::new(0));
+        spawn(Box::new(move || {
+            let id = format!("call-{i}-{}", count.fetch_add(1, Ordering::SeqCst));
+            let path = if trouble { format!("1f?list=long&of={}", "v".repeat(7000)) } else { "1f".to_owned() };
+            let request = view(&id).replace("1f", &path);
+            let Ok(mut client) = Client::connect(node) else { return thread::sleep(ms(50)) };
+            client.limit_read_ahead();
+            let read = client.send(request).and_then(|()| {
+                client.stream.set_read_timeout(Some(ms(3000)))?;
+                read_slowly(&mut client.stream, if trouble { ms(4000) } else { ms(100) })
+            });
+            served.fetch_add(usize::from(read.is_ok_and(|status| status == 200)), Ordering::SeqCst);
+            thread::sleep(ms(50));
+        }))?;
+    }
+    let claims = "POST /claim-shift/1f HTTP/1.1\r\nHost: service.internal\r\nX-Budget-Ms: 1200\r\nIdempotency-Key: k\r\n";
+    for i in 0..if trouble { PEERS } else { 0 } {
+        let (count, half) = (AtomicUsize::new(0), "a".repeat(50_000));
+        spawn(Box::new(move || {
+            let id = format!("X-Call-Id: peer-{i}-{}\r\n", count.fetch_add(1, Ordering::SeqCst));
+            let text = match i % 4 {
+                0 => format!("{claims}{id}Content-Length: 1000000\r\n\r\n{half}"),
+                1 => format!("{claims}{id}Transfer-Encoding: chunked\r\n\r\nf000\r\n{half}"),
+                2 => format!("{claims}{id}Content-Length: 60000\r\n\r\n{half}"),
+                _ => format!("GET /view-shifts/{}", &half[..30_000]),
+            };
+            let ended = Client::connect(node).and_then(|mut peer| {
+                peer.send(text)?;
+                peer.answer(ms(4000))
+            });
+            if ended.is_err() {
+                thread::sleep(ms(20));
+            }
+        }))?;
+    }
+    let mut peak = 0;
+    let mut watch = |processes: &[&Node], time: Duration| -> Result<(), String> {
+        let begun = Instant::now();
+        while begun.elapsed() < time {
+            let each: Vec<_> = processes.iter().map(|process| process.memory_kib()).collect();
+            if each.last() == Some(&0) {
+                return Err("a process has ended, or its memory can't be read".into());
+            }
+            let sum = each.iter().sum::<u64>();
+            if sum > peak {
+                peak = sum;
+                record::line(format!("memory: {sum} KiB in all, {each:?}"));
+            }
+            thread::sleep(ms(50));
+        }
+        Ok(())
+    };
+    watch(&[&old], ms(5000))?;
+    record::line("the program is started again beside the process that serves");
+    let new = old.upgrade(&with_ops()?)?;
+    old.signal("TERM")?;
+    // The old process may take the longest deadline and 0.7 s.
+    watch(&[&old, &new], ms(1900))?;
+    over.store(true, Ordering::SeqCst);
+    record::line(format!("{} answers were begun; the peak is {peak} KiB", served.load(Ordering::SeqCst)));
+    let limit = u64::from(MEMORY_MB) * 1024;
+    Ok((peak > limit)
+        .then(|| format!("the node took {peak} KiB, its limit is {limit} KiB"))
+        .into_iter()
+        .collect())
+}
+
+/// Reads the beginning of an answer, waits, and reads on for a moment. Returns the status.
+fn read_slowly(stream: &mut std::net::TcpStream, wait: Duration) -> std::io::Result<u16> {
+    let mut bytes = [0; 1024];
+    let read = stream.read(&mut bytes)?;
+    let text = String::from_utf8_lossy(&bytes[..read]).into_owned();
+    thread::sleep(wait);
+    let _ = stream.read(&mut bytes)?;
+    Ok(text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or_default())
+}
+
+/// The rule on lost requests: no attempt begins more than 0.1 s after its client has closed the connection. Disruption:
+/// clients leave, and connections to one of three servers come up late.
+fn left_upload(trouble: bool) -> Outcome {
+    let begun = Arc::new(Mutex::new(BTreeMap::<String, f64>::new()));
+    let mut servers = Vec::new();
+    for name in ["s-1", "s-2", "s-3"] {
+        let begun = begun.clone();
+        servers.push(Server::start(name, 1, move |stream, request| {
+            let mut begun = begun.lock().unwrap_or_else(|broken| broken.into_inner());
+            begun.insert(request.id(), request.begun_ms);
+            drop(begun);
+            answer(stream, "200 OK", "Connection: close\r\n", "the roster");
+            false
+        })?);
+    }
+    let node = Node::start(&setup(discovery::start(&servers.iter().collect::<Vec<_>>())?))?;
+    warm_up(&node, 100)?;
+    let filling = if trouble { servers[0].stop_accepting() } else { Vec::new() };
+    let mut closed = Vec::new();
+    for i in 0..12 {
+        let id = format!("call-{i}");
+        let mut client = Client::connect(node.address).map_err(|e| e.to_string())?;
+        let body = "c".repeat(1_000_000);
+        let head = format!(
+            "POST /claim-shift/1f HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: {id}\r\n\
+            X-Budget-Ms: 1200\r\nIdempotency-Key: key-{i}\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        client.send(format!("{head}{body}")).map_err(|e| e.to_string())?;
+        drop(client);
+        record::line(format!("{id}: sent, and closed"));
+        closed.push((id, record::now_ms()));
+        thread::sleep(ms(10));
+    }
+    thread::sleep(ms(2500));
+    drop(filling);
+    let begun = begun.lock().unwrap_or_else(|broken| broken.into_inner());
+    let after = closed.iter().filter_map(|(id, at)| Some((id, begun.get(id)? - at)));
+    let late = after.filter(|(_, after)| *after > 100.0 + 50.0);
+    Ok(late
+        .map(|(id, after)| format!("an attempt for {id} began {after:.0} ms after its client's close"))
+        .collect())
+}
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
 use std::time::Duration;
 
 /// A message that was read whole.
@@ -11,6 +12,8 @@
     pub start: String,
     headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// When its first byte came, in milliseconds since the case began.
+    pub begun_ms: f64,
 }
 
 impl Message {
@@ -41,7 +44,8 @@
 /// Reads a message. `UnexpectedEof` if the stream ends before it is whole; the only messages that may end with
 /// the stream are those that the protocol delimits by nothing else, and the node writes none of these.
 pub fn read_message(reader: &mut impl BufRead) -> io::Result<Message> {
-    let mut message = Message { start: read_line(reader)?, headers: Vec::new(), body: Vec::new() };
+    let mut message =
+        Message { start: read_line(reader)?, headers: Vec::new(), body: Vec::new(), begun_ms: 0.0 };
     loop {
         let line = read_line(reader)?;
         let Some((name, value)) = line.split_once(':') else { break };
@@ -68,6 +72,14 @@
     Ok(message)
 }
 
+// The C library, which every program of the standard library is linked with.
+unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+}
+// Linux numbers, the same on x86-64 and arm64.
+const SOL_SOCKET: i32 = 1;
+const SO_RCVBUF: i32 = 8;
+
 /// A client's connection.
 pub struct Client {
     pub stream: TcpStream,
@@ -83,6 +95,13 @@
         Ok(Client { stream, reader })
     }
 
+    /// Lets the client's machine take no more than some kB ahead of what the client reads.
+    pub fn limit_read_ahead(&self) {
+        let bytes = 4096;
+        // Without the limit a slow reader only looks less slow to the node.
+        unsafe { setsockopt(self.stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
+    }
+
     /// Sends bytes.
     pub fn send(&mut self, bytes: impl AsRef<[u8]>) -> io::Result<()> {
         self.stream.write_all(bytes.as_ref())
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -1,8 +1,9 @@
 //! The platform: starts the node by the command of the deploy file, signals it and ends it.
 
-use crate::http::Client;
+use crate::http::{Client, Message};
 use crate::record;
-use std::fs::{self, File};
+use std::fs::{self, OpenOptions};
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -20,6 +21,13 @@
     folder: PathBuf,
 }
 
+/// Asks for a path on a connection of its own.
+fn get(address: SocketAddr, path: &str) -> io::Result<Message> {
+    let mut client = Client::connect(address)?;
+    client.send(format!("GET {path} HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n"))?;
+    client.answer(Duration::from_secs(1))
+}
+
 /// What differs from case to case in a configuration.
 pub struct Setup {
     pub discovery: SocketAddr,
@@ -27,14 +35,17 @@
     pub classes: String,
     pub memory_mb: u32,
     pub sockets: u32,
+    /// The second address, where there is one.
+    pub ops: Option<SocketAddr>,
 }
 
 impl Setup {
     /// The configuration file: the settings of the site file, with this case's classes.
     fn to_json(&self, listen: SocketAddr) -> String {
-        let Setup { discovery, classes, memory_mb, sockets } = self;
+        let Setup { discovery, classes, memory_mb, sockets, ops } = self;
+        let ops = ops.map(|ops| format!(r#""ops":"{ops}","#)).unwrap_or_default();
         format!(
-            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"{listen}",{ops}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
 "known":{{"index":1,"snapshot":true,"endpoints":[]}},
 "settings":{{"Callers":{{"MarksRetry":false}},"Classes":{classes},"CountedBy":"work","Family":"proxy",
@@ -61,42 +72,76 @@
     line.and_then(|line| line.split('"').next()).map(str::to_owned).ok_or("no run in the deploy file".into())
 }
 
+/// An address on which nothing listens.
+pub fn free_address() -> Result<SocketAddr, String> {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).map_err(|e| e.to_string())
+}
+
 impl Node {
     /// Starts a node and waits until it is ready.
     pub fn start(setup: &Setup) -> Result<Self, String> {
-        let error = |e: std::io::Error| e.to_string();
-        let free =
-            TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).map_err(error)?;
-        let mut started = STARTED.lock().unwrap_or_else(|broken| broken.into_inner());
-        let name = format!("hillpick-review-{}-{}", std::process::id(), started.len());
+        let started = STARTED.lock().unwrap_or_else(|broken| broken.into_inner()).len();
+        let name = format!("hillpick-review-{}-{started}", std::process::id());
         let folder = std::env::temp_dir().join(name);
-        fs::create_dir_all(&folder).map_err(error)?;
-        let node = Node { address: free, pid: 0, folder: folder.clone() };
-        node.configure(setup)?;
+        fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
+        let node = Node { address: free_address()?, pid: 0, folder }.run(setup)?;
+        node.wait_until(|| node.is_ready())?;
+        record::line("the node is ready");
+        Ok(node)
+    }
+
+    /// Starts the node's program again beside this process, with the same addresses and another second address, and
+    /// waits until that says yes.
+    pub fn upgrade(&self, setup: &Setup) -> Result<Self, String> {
+        let next = Node { address: self.address, pid: 0, folder: self.folder.clone() }.run(setup)?;
+        let ops = setup.ops.ok_or("an upgrade needs a second address")?;
+        next.wait_until(|| get(ops, "/status").is_ok_and(|answer| answer.status() == 200))?;
+        record::line("the new process says yes");
+        Ok(next)
+    }
+
+    fn run(mut self, setup: &Setup) -> Result<Self, String> {
+        let error = |e: std::io::Error| e.to_string();
+        self.configure(setup)?;
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(run_command()?);
         for name in ["SILLWARD_FLEET", "SILLWARD_ZONES", "SILLWARD_SUBSET", "LD_PRELOAD"] {
             command.env_remove(name);
         }
-        command.env("TMPDIR", &folder).env("PROXY_NAME", "n0").env("PROXY_LISTEN", free.to_string());
+        command
+            .env("TMPDIR", &self.folder)
+            .env("PROXY_NAME", "n0")
+            .env("PROXY_LISTEN", self.address.to_string());
         command.env("PROXY_DISCOVERY", setup.discovery.to_string());
-        command.env("PROXY_CONFIG", folder.join("config.json"));
-        let log = File::create(folder.join("log")).map_err(error)?;
+        command.env("PROXY_CONFIG", self.folder.join("config.json"));
+        let log =
+            OpenOptions::new().create(true).append(true).open(self.folder.join("log")).map_err(error)?;
         command.stdin(Stdio::null()).stdout(log.try_clone().map_err(error)?).stderr(log);
         let child = command.spawn().map_err(error)?;
-        let pid = child.id();
-        started.push((child, folder));
-        drop(started);
-        let node = Node { pid, ..node };
+        self.pid = child.id();
+        let mut started = STARTED.lock().unwrap_or_else(|broken| broken.into_inner());
+        started.push((child, self.folder.clone()));
+        Ok(self)
+    }
+
+    fn wait_until(&self, condition: impl Fn() -> bool) -> Result<(), String> {
         let begun = Instant::now();
-        while begun.elapsed() < Duration::from_secs(20) {
-            if node.is_ready() {
-                record::line("the node is ready");
-                return Ok(node);
+        while !condition() {
+            if begun.elapsed() > Duration::from_secs(20) || self.has_ended() {
+                return Err("the node did not get ready; is it built?".into());
             }
             thread::sleep(Duration::from_millis(20));
         }
-        Err("the node did not get ready; is it built?".into())
+        Ok(())
+    }
+
+    /// The process's memory in KiB: its own pages, and its part of those that it shares with others.
+    pub fn memory_kib(&self) -> u64 {
+        let rollup = fs::read_to_string(format!("/proc/{}/smaps_rollup", self.pid)).unwrap_or_default();
+        let line = rollup.lines().find_map(|line| line.strip_prefix("Pss:"));
+        line.and_then(|line| line.trim().split(' ').next())
+            .and_then(|kib| kib.parse().ok())
+            .unwrap_or_default()
     }
 
     /// Replaces the configuration file.
@@ -107,12 +152,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        let request = "GET /health/ready HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n";
-        let answer = Client::connect(self.address).and_then(|mut client| {
-            client.send(request)?;
-            client.answer(Duration::from_secs(1))
-        });
-        answer.is_ok_and(|answer| answer.status() == 200)
+        get(self.address, "/health/ready").is_ok_and(|answer| answer.status() == 200)
     }
 
     /// Sends a signal, such as `TERM`.
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{Message, read_message};
 use crate::record;
-use std::io::{BufReader, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
@@ -72,7 +72,11 @@
     let _ = stream.set_nodelay(true);
     let Ok(read_half) = stream.try_clone() else { return };
     let mut reader = BufReader::new(read_half);
-    while let Ok(request) = read_message(&mut reader) {
+    // An attempt begins with its first byte.
+    while reader.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
+        let begun = record::now_ms();
+        let Ok(mut request) = read_message(&mut reader) else { return };
+        request.begun_ms = begun;
         let start: String = request.start.chars().take(60).collect();
         record::line(format!("{name}: runs {}: {start}, {} bytes", request.id(), request.body.len()));
         if !handler(&mut stream, &request) {
