The stand-in's nodes end with it, also when it is killed

Cause: a killed script would have left its node behind. Change: the node is told by prctl to end with its parent.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -463,7 +463,8 @@
         let (served, count) = (served.clone(), AtomicUsize::new(0));
         spawn(Box::new(move || {
             let id = format!("call-{i}-{}", count.fetch_add(1, Ordering::SeqCst));
-            let path = if trouble { format!("1f?list=long&of={}", "v".repeat(7000)) } else { "1f".to_owned() };
+            let path =
+                if trouble { format!("1f?list=long&of={}", "v".repeat(7000)) } else { "1f".to_owned() };
             let request = view(&id).replace("1f", &path);
             let Ok(mut client) = Client::connect(node) else { return thread::sleep(ms(50)) };
             client.limit_read_ahead();
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -5,12 +5,21 @@
 use std::fs::{self, OpenOptions};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
+// The C library, which every program of the standard library is linked with, and Linux numbers, the same on x86-64 and
+// arm64.
+unsafe extern "C" {
+    fn prctl(option: i32, signal: usize) -> i32;
+}
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
+
 /// The processes that were started, each with its temporary folder.
 static STARTED: Mutex<Vec<(Child, PathBuf)>> = Mutex::new(Vec::new());
 
@@ -117,6 +126,8 @@
         let log =
             OpenOptions::new().create(true).append(true).open(self.folder.join("log")).map_err(error)?;
         command.stdin(Stdio::null()).stdout(log.try_clone().map_err(error)?).stderr(log);
+        // The node ends with this process, however that ends. The main thread starts the nodes and lives as long.
+        unsafe { command.pre_exec(|| Ok(drop(prctl(PR_SET_PDEATHSIG, SIGKILL)))) };
         let child = command.spawn().map_err(error)?;
         self.pid = child.id();
         let mut started = STARTED.lock().unwrap_or_else(|broken| broken.into_inner());
