--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -127,7 +127,11 @@
             OpenOptions::new().create(true).append(true).open(self.folder.join("log")).map_err(error)?;
         command.stdin(Stdio::null()).stdout(log.try_clone().map_err(error)?).stderr(log);
         // The node ends with this process, however that ends. The main thread starts the nodes and lives as long.
-        unsafe { command.pre_exec(|| Ok(drop(prctl(PR_SET_PDEATHSIG, SIGKILL)))) };
+        let end_with_parent = || match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+            0 => Ok(()),
+            _ => Err(io::Error::last_os_error()),
+        };
+        unsafe { command.pre_exec(end_with_parent) };
         let child = command.spawn().map_err(error)?;
         self.pid = child.id();
         let mut started = STARTED.lock().unwrap_or_else(|broken| broken.into_inner());
