Don't pass on an answer in a transfer coding that the node can't remove

Cause: hyper removes a final `chunked`, leaves all other codings in the body, and reads an answer with another last coding until its connection closes. The node looked at status and length alone and doesn't forward the header. That the end was found wrongly is not the cause: `gzip, chunked`, where the end is right, was served as whole too.

Change: a response whose codings are anything but `chunked` alone is an attempt that may have run, whatever its status says; discovery's answers in such a coding are abandoned unread.

--- a/src/bin/sillward/backend/response.rs
+++ b/src/bin/sillward/backend/response.rs
@@ -8,6 +8,7 @@
 use crate::read_chunk::READ_CHUNK_BYTES;
 use bytes::Bytes;
 use hillpick::control::log::log;
+use hillpick::control::transfer_coding;
 use hillpick::{LoadReport, Outcome, ServerId};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
@@ -47,6 +48,9 @@
             }
             return response.into_served();
         }
+        if !is_readable(attempt.server, response.headers()) {
+            return (Outcome::Reset, None, None);
+        }
         let report = self.header_report(response.headers());
         let mut body = response.into_body();
         let length = body.size_hint().exact();
@@ -127,6 +131,9 @@
         server: ServerId,
         response: Response<Incoming>,
     ) -> ShortResponse {
+        if !is_readable(server, response.headers()) {
+            return ShortResponse { outcome: Outcome::Reset, report: None, body: None };
+        }
         let (head, mut body) = response.into_parts();
         let report = self.header_report(&head.headers);
         let (mut buffer, mut length) = (ReservedBuffer::default(), 0);
@@ -159,6 +166,16 @@
     }
 }
 
+/// Whether a response can be read. One in an unsupported transfer coding can't be, like one with a malformed
+/// head: whatever its status says, the request may have run.
+fn is_readable(server: ServerId, headers: &HeaderMap) -> bool {
+    let readable = transfer_coding::is_decoded(headers);
+    if !readable {
+        log(format_args!("server {:x}: dropped a response in an unsupported transfer coding", server.0));
+    }
+    readable
+}
+
 fn header_bytes(headers: &HeaderMap) -> usize {
     headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
 }
--- a/src/control/discovery/mod.rs
+++ b/src/control/discovery/mod.rs
@@ -22,6 +22,7 @@
 use crate::control::config::{Config, LiveSettings};
 use crate::control::log::log;
 use crate::control::tcp;
+use crate::control::transfer_coding;
 use crate::control::updates::{DiscoveryCommand, ListUpdate};
 use apply::{ApplyOutcome, READ_CHUNK_BYTES, parse_long};
 use bytes::{Bytes, BytesMut};
@@ -368,6 +369,9 @@
             let request = request.body(Empty::<Bytes>::new()).map_err(|e| e.to_string())?;
             let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
             match response.status() {
+                StatusCode::OK if !transfer_coding::is_decoded(response.headers()) => {
+                    Err("the agent answered in an unsupported transfer coding".to_owned())
+                }
                 StatusCode::OK => Ok((response, connection)),
                 status => Err(format!("the agent answered {status}")),
             }
--- a/src/control/discovery/tests.rs
+++ b/src/control/discovery/tests.rs
@@ -439,6 +439,27 @@
     }
 }
 
+/// Guards against lists that are read from an answer whose coding the client can't remove: its chunks' ends
+/// would be taken for parts of the text.
+#[test]
+fn a_watch_in_an_unknown_transfer_coding_is_abandoned_unread() {
+    run_paused(async || {
+        let mut harness = Harness::start("", false);
+        for coding in ["chunkd", "gzip, chunked"] {
+            let mut agent = harness.next_connection().await;
+            agent.read_request_line().await;
+            let lines = list(8, true, &[entry("s-1", "in_service", 0)]);
+            let chunk = format!("{:x}\r\n{lines}\r\n", lines.len());
+            let response = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: {coding}\r\n\r\n{chunk}");
+            agent.pipe.write_all(response.as_bytes()).await.expect("there is room");
+        }
+        let mut agent = harness.next_connection().await;
+        agent.send_head().await;
+        agent.write(&list(9, true, &[entry("s-2", "terminating", 0)])).await;
+        assert_eq!(harness.next_update_states().await, (ListKind::Full, vec![ServerState::Draining]));
+    });
+}
+
 // ---- Address changes ----------------------------------------------------------------------------
 
 #[test]
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,4 +13,5 @@
 pub mod saved_file;
 pub mod server_table;
 pub mod tcp;
+pub mod transfer_coding;
 pub mod updates;
--- a/tests/bodies/mod.rs
+++ b/tests/bodies/mod.rs
@@ -1,5 +1,6 @@
 //! Bodies that are too long to buffer, slow bodies, and the ways in which HTTP/1.1 frames bodies.
 
+use crate::first_attempt_gets;
 use crate::harness::*;
 use std::io::{Read, Write};
 use std::net::TcpListener;
@@ -134,6 +135,52 @@
     }
 }
 
+/// A response with this status line and these lines of its head, whose body comes in chunks until its
+/// connection ends.
+fn chunked_reply(status: &'static str, lines: &'static str) -> Reply {
+    let body = "6\r\nroster\r\n0\r\n\r\n";
+    Reply::Close(format!("HTTP/1.1 {status}\r\n{lines}\r\n{body}").into_bytes())
+}
+
+/// Guards against responses in a coding that the node can't remove and that it passes on as whole, with that
+/// coding and the server's framing in their bodies.
+#[test]
+fn a_response_in_an_unknown_transfer_coding_is_a_failed_attempt_that_may_have_run() {
+    for lines in [
+        "Transfer-Encoding: chunkd\r\n",
+        "Transfer-Encoding: chunkd\r\nContent-Length: 21\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    ] {
+        for status in ["200 OK", "503 Full\r\nX-Rejected: 1"] {
+            let (one, two) = first_attempt_gets(move || chunked_reply(status, lines));
+            let (node, _watch, _discovery) = serving_node(&settings(DEADLINE_MS, ""), &[&one, &two]);
+            let answer = node.client().request_correct();
+            assert_eq!((answer.status(), answer.body), (502, vec![]), "{status} {lines}");
+            assert_eq!(one.request_count() + two.request_count(), 1, "{status} {lines}");
+
+            let (one, two) = first_attempt_gets(move || chunked_reply(status, lines));
+            let (node, _watch, _discovery) = serving_node(&settings(DEADLINE_MS, ""), &[&one, &two]);
+            assert_eq!(node.client().request_read().body, b"second", "{status} {lines}");
+        }
+    }
+}
+
+#[test]
+fn a_response_whose_only_coding_is_chunked_is_served_however_that_is_written() {
+    for lines in [
+        "Transfer-Encoding: Chunked\r\n",
+        "Transfer-Encoding: ,chunked \r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 6\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Encoding: identity\r\n",
+    ] {
+        let backend = Backend::start(move |_| chunked_reply("200 OK", lines));
+        let (node, _watch, _discovery) = serving_node(&settings(DEADLINE_MS, ""), &[&backend]);
+        assert_eq!(node.client().request_correct().body, b"roster", "{lines}");
+    }
+}
+
 #[test]
 fn the_first_bytes_of_a_chunked_response_are_not_held_back_for_its_last() {
     let (release, release_gate) = channel::<()>();
