Answer 501 to a request in a transfer coding that the node can't remove

Callers saw requests whose bodies came in `gzip, chunked` served: backends got the coded bytes without the header that names the coding. A request whose last coding is not `chunked` was refused before, by hyper.

Measured: bodies::a_request_in_an_unknown_transfer_coding_gets_an_error_and_reaches_no_backend failed before (200 in place of 501) and passes.

--- a/src/bin/sillward/request_head.rs
+++ b/src/bin/sillward/request_head.rs
@@ -3,6 +3,7 @@
 
 use crate::messages::{ForwardedRequest, RequestBody};
 use bytes::Bytes;
+use hillpick::control::transfer_coding;
 use hillpick::settings::SiteSettings;
 use hillpick::{NewRequest, RequestId, RetrySafety};
 use hyper::header::{HeaderMap, HeaderValue};
@@ -43,6 +44,9 @@
 impl RequestHead {
     /// Validates a head by these settings. A request that breaks the protocol never reaches a backend.
     pub fn parse(site: &SiteSettings, head: &Parts) -> Result<Self, Rejection> {
+        if !transfer_coding::is_decoded(&head.headers) {
+            return Err((StatusCode::NOT_IMPLEMENTED, "unsupported transfer coding"));
+        }
         let path = head.uri.path_and_query().ok_or((BAD_REQUEST, "no path"))?;
         let mut segments = path.path().strip_prefix('/').ok_or((BAD_REQUEST, "no path"))?.split('/');
         let class_name = segments.next().unwrap_or_default();
--- a/tests/bodies/mod.rs
+++ b/tests/bodies/mod.rs
@@ -181,6 +181,24 @@
     }
 }
 
+/// Guards against request bodies that are forwarded without the coding that their clients applied to them.
+#[test]
+fn a_request_in_an_unknown_transfer_coding_gets_an_error_and_reaches_no_backend() {
+    let backend = Backend::start(|_| ok(""));
+    let (node, _watch, _discovery) = serving_node(&settings(DEADLINE_MS, ""), &[&backend]);
+    for lines in [
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+    ] {
+        let mut client = node.client();
+        let head = format!("POST /correct/1 HTTP/1.1\r\nHost: a\r\n{}", common_headers(DEADLINE_MS));
+        client.write(format!("{head}{lines}\r\n5\r\nsheet\r\n0\r\n\r\n").as_bytes());
+        assert_eq!(client.answer().expect("an answer").status(), 501, "{lines}");
+    }
+    assert_eq!(backend.request_count(), 0);
+}
+
 #[test]
 fn the_first_bytes_of_a_chunked_response_are_not_held_back_for_its_last() {
     let (release, release_gate) = channel::<()>();
