Answer requests with long heads in time though peers stop half way through theirs

Cause: such a head is read once 32 KiB are reserved from the half of the memory budget that is for messages which still arrive, also when it has arrived whole. The wait had no end of its own, and the request's time was counted from when its head had been read. It is neither the crowd nor the load: the head is the second request on its connection, short requests beside it took milliseconds, and the receive queues held its rest unread.

Change: a waiting head is looked at in the kernel. Once it is whole it may use all of the budget, waits for 100 ms at most and is refused with 503 after that; its request's time runs since it had arrived. Its connection is not shed meanwhile.

--- a/src/bin/sillward/arrival.rs
+++ b/src/bin/sillward/arrival.rs
@@ -5,8 +5,8 @@
 //! in the buffers of the client's machine, where nothing shows them. Nor would the node notice meanwhile that
 //! the client has disconnected.
 
-use crate::client::READ_BUFFER_BYTES;
 use crate::messages::ClientPresence;
+use crate::read_chunk::READ_BUFFER_BYTES;
 use crate::upload::UploadProgress;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
--- a/src/bin/sillward/client.rs
+++ b/src/bin/sillward/client.rs
@@ -1,8 +1,10 @@
 //! The state of a client's connection: when bytes last moved on it, and whether a request is in progress.
 
 use crate::body::{IDLE_TIMEOUT, STALL_TIMEOUT};
+use crate::head_refusal::HeadRefusal;
 use crate::liveness::Liveness;
-use crate::memory::Reservation;
+use crate::memory::{MAX_UNREAD_WAIT, Reservation};
+use crate::read_chunk::READ_CHUNK_BYTES;
 use crate::upload::UploadProgress;
 use crate::write_backlog::WriteBacklog;
 use std::cell::{Cell, RefCell};
@@ -16,8 +18,8 @@
 /// has been idle for this long may be closed as well.
 pub const READ_TIMEOUT: Duration = IDLE_TIMEOUT;
 
-/// Read buffer of a connection: no request head may be longer.
-pub const READ_BUFFER_BYTES: usize = 32 * 1024;
+/// A head up to this length fits into the read buffer that a connection begins with.
+const SHORT_HEAD_BYTES: usize = READ_CHUNK_BYTES;
 
 /// A client that sends nothing of its request's body for this long may be shed to make room for others.
 const BODY_STALL: Duration = Duration::from_millis(200);
@@ -51,6 +53,11 @@
     pub awaiting_body: Cell<bool>,
     /// How far a streamed request body has got.
     pub upload: RefCell<Option<Rc<UploadProgress>>>,
+    /// When a long head had arrived whole that waited for memory unread: its request's time runs since then.
+    /// Taken when the request is handled.
+    pub head_arrived_at: Cell<Option<Instant>>,
+    /// The refusal of a head that got no memory.
+    pub head_refusal: HeadRefusal,
     /// The memory of a long head. hyper keeps the larger buffer as long as the connection.
     pub head_memory: RefCell<Option<Reservation>>,
     /// The memory of the request in progress. It is held until the response has been written.
@@ -96,6 +103,8 @@
             head_bytes: Rc::default(),
             awaiting_body: Cell::new(false),
             upload: RefCell::default(),
+            head_arrived_at: Cell::default(),
+            head_refusal: HeadRefusal::default(),
             head_memory: RefCell::default(),
             exchange_memory: RefCell::default(),
         }
@@ -130,8 +139,28 @@
         self.idle_since.get().is_some()
     }
 
+    /// Whether the next bytes are those of a head that is longer than the read buffer.
+    pub fn expects_long_head(&self) -> bool {
+        self.expects_head() && self.head_bytes.get() >= SHORT_HEAD_BYTES
+    }
+
+    /// Whether a whole head waits for memory.
+    fn has_waiting_head(&self) -> bool {
+        self.expects_head()
+            && self.head_arrived_at.get().is_some()
+            && self.head_memory.borrow().is_none()
+            && !self.head_refusal.is_decided()
+    }
+
+    /// Whether the connection can be told to close to make room: it has no request in progress and none that has
+    /// arrived, and has not been told yet.
+    pub fn is_idle(&self) -> bool {
+        self.idle_since.get().is_some() && !self.has_waiting_head() && !self.shed.get()
+    }
+
     /// All that was given to the connection has been written.
     pub fn record_flushed(&self) {
+        self.head_refusal.set_flushed(true);
         if self.idle_since.get().is_some() {
             self.exchange_memory.take();
         }
@@ -162,8 +191,8 @@
     pub fn close_mode(&self, activity_before: Instant, terminating: bool) -> CloseMode {
         let in_progress = self.idle_since.get().is_none();
         let (next_begun, shed) = (self.next_begun.get().is_some(), self.shed.get());
-        let still_arriving =
-            next_begun && (!shed || (self.last_activity.get() != activity_before && !terminating));
+        let still_arriving = self.has_waiting_head()
+            || next_begun && (!shed || (self.last_activity.get() != activity_before && !terminating));
         match self.had_request.get() {
             // The request is incomplete and has not been accepted.
             _ if in_progress && shed && self.is_stalled() => CloseMode::Immediate,
@@ -187,6 +216,9 @@
                 TimeoutAction::Recheck(now + READ_TIMEOUT)
             };
         };
+        if self.has_waiting_head() {
+            return TimeoutAction::Recheck(now + MAX_UNREAD_WAIT);
+        }
         let (since, action) = match (self.had_request.get(), self.next_begun.get()) {
             (false, _) => (self.connected, TimeoutAction::CloseNow),
             (true, Some(next_begun)) => (next_begun, TimeoutAction::CloseGracefully),
--- a/src/bin/sillward/frontend.rs
+++ b/src/bin/sillward/frontend.rs
@@ -3,13 +3,15 @@
 
 use crate::arrival;
 use crate::body::{Download, IdleBudget, STALL_TIMEOUT};
-use crate::client::{Client, CloseMode, READ_BUFFER_BYTES, READ_TIMEOUT, TimeoutAction};
+use crate::client::{Client, CloseMode, READ_TIMEOUT, TimeoutAction};
 use crate::client_stream::ClientStream;
 use crate::handover::HotRestart;
+use crate::head_refusal::refuse_head;
 use crate::lifecycle::{DRAIN_ACCEPT_PERIOD, FINAL_REQUEST_GRACE, Lifecycle, Phase, ProcessState};
 use crate::liveness::{Liveness, PeerState, peer_state};
-use crate::memory::{EXCHANGE_BYTES, MemoryBudget, Reservation};
+use crate::memory::{EXCHANGE_BYTES, MAX_UNREAD_WAIT, MemoryBudget, Reservation};
 use crate::messages::{AcceptedRequest, Answer, ClientPresence, Message, RequestBody};
+use crate::read_chunk::READ_BUFFER_BYTES;
 use crate::request_body::{
     BodyReader, MEMORY_WAIT_DIVISOR, OUT_OF_MEMORY, ReadBody, TOO_MUCH_PIPELINED, discard, discard_later,
 };
@@ -58,9 +60,6 @@
 /// How often a process that starts beside another checks whether it holds a server list and can accept
 /// clients.
 const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// A body that is to be streamed waits unread for memory no longer than this: its client may leave meanwhile
-/// without that being visible.
-const MAX_UNREAD_WAIT: Duration = Duration::from_millis(100);
 /// The path of the readiness check.
 const READINESS_PATH: &str = "/health/ready";
 /// The least time between two lines of the log on refusals for lack of memory.
@@ -204,12 +203,7 @@
     async fn enforce_body_deadline(self: Rc<Self>) {
         self.node.lifecycle.body_deadline().await;
         let _ = self.messages.send(Message::BodyDeadline).await;
-        while self
-            .clients
-            .borrow()
-            .values()
-            .any(|client| client.idle_since.get().is_some() && !client.shed.get())
-        {
+        while self.clients.borrow().values().any(|client| client.is_idle()) {
             self.shed_longest_idle();
         }
     }
@@ -288,7 +282,7 @@
     /// been told is skipped.
     fn shed_longest_idle(&self) {
         let clients = self.clients.borrow();
-        let idle = clients.values().filter(|client| client.idle_since.get().is_some() && !client.shed.get());
+        let idle = clients.values().filter(|client| client.is_idle());
         let stalled = || clients.values().filter(|client| client.is_stalled());
         let longest = idle.min_by_key(|client| client.last_activity.get());
         if let Some(client) = longest.or_else(|| stalled().min_by_key(|client| client.last_activity.get())) {
@@ -327,9 +321,9 @@
     /// written, false if the connection timed out or is to be closed at once.
     async fn serve_connection(self: Rc<Self>, stream: &Rc<RefCell<TcpStream>>, client: &Rc<Client>) -> bool {
         let service = service_fn(|request| self.clone().respond(client.clone(), request));
-        let stream = TokioIo::new(ClientStream::new(stream.clone(), client.clone(), self.memory.clone()));
+        let io = TokioIo::new(ClientStream::new(stream.clone(), client.clone(), self.memory.clone()));
         let mut server = http1::Builder::new();
-        let connection = server.max_buf_size(READ_BUFFER_BYTES).serve_connection(stream, service);
+        let connection = server.max_buf_size(READ_BUFFER_BYTES).serve_connection(io, service);
         let mut connection = std::pin::pin!(connection);
         let mut next_check = Instant::now();
         // Biased: a request that has arrived is read before the connection is told to close.
@@ -337,6 +331,12 @@
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return true,
+                () = client.head_refusal.due() => {
+                    self.log_refusal(&OUT_OF_MEMORY);
+                    let (status, text) = OUT_OF_MEMORY;
+                    client.last_activity.set(Instant::now());
+                    return matches!(timeout(READ_TIMEOUT, refuse_head(stream, status, text)).await, Ok(Ok(())));
+                }
                 () = client.close.notified() => {
                     let activity_before = client.last_activity.get();
                     // Bytes in the kernel are seen only once the runtime has polled it. That comes first;
@@ -451,6 +451,7 @@
         idle_budget: IdleBudget,
         client_connection: &Client,
     ) -> Result<Option<ClientResponse>, Rejection> {
+        let head_arrived_at = client_connection.head_arrived_at.take();
         let (head, body) = request.into_parts();
         // The settings may change while the body arrives: the request goes by those in force when it began.
         let site = self.live_settings.get();
@@ -463,6 +464,7 @@
         let budget = parsed.as_ref().map_or(Duration::ZERO, |head| head.budget);
         let mut reader = BodyReader {
             client: client_connection,
+            head_arrived_at,
             idle_budget,
             memory_wait: budget / MEMORY_WAIT_DIVISOR,
             memory: &self.memory,
@@ -684,4 +686,6 @@
 #[cfg(test)]
 mod disconnects;
 #[cfg(test)]
+mod long_heads;
+#[cfg(test)]
 mod tests;
--- a/src/bin/sillward/frontend/tests.rs
+++ b/src/bin/sillward/frontend/tests.rs
@@ -4,11 +4,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::LocalSet;
 
-const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+pub const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
     "settings": {"Classes": [{"Name": "submit", "Target": 1, "GiveUp": 1, "Idempotency": "single_shot"}]}}"#;
 
 /// A frontend, and the messages that it sends to the node.
-fn frontend(config: &str) -> (Rc<Frontend>, mpsc::Receiver<Message>) {
+pub fn frontend(config: &str) -> (Rc<Frontend>, mpsc::Receiver<Message>) {
     let config = Config::parse(config).expect("a valid configuration");
     let (messages, inbox) = mpsc::channel(4096);
     let node =
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -11,6 +11,8 @@
 mod executed_requests;
 mod frontend;
 mod handover;
+mod head_memory;
+mod head_refusal;
 mod lifecycle;
 mod liveness;
 mod memory;
--- a/src/bin/sillward/memory.rs
+++ b/src/bin/sillward/memory.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// Messages up to this length need no reservation: their connections are counted with room for that.
@@ -13,6 +14,9 @@
 /// What a request holds on its way, beside a body that is buffered: a chunk in each stage that a streamed
 /// body passes through.
 pub const EXCHANGE_BYTES: usize = 3 * (READ_CHUNK_BYTES + 1);
+/// What has arrived of a message waits unread for memory no longer than this: its client may leave meanwhile
+/// without that being visible.
+pub const MAX_UNREAD_WAIT: Duration = Duration::from_millis(100);
 
 /// The bytes that buffers may hold in all, and those that they hold.
 pub struct MemoryBudget {
--- a/src/bin/sillward/read_chunk.rs
+++ b/src/bin/sillward/read_chunk.rs
@@ -10,6 +10,9 @@
 /// that it begins with.
 pub const READ_CHUNK_BYTES: usize = 8 * 1024 - 1;
 
+/// Read buffer of a client's connection: no request head may be longer.
+pub const READ_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Reads at most [`READ_CHUNK_BYTES`], and returns how many. Until there is something to read the buffer is
 /// not touched, so that an idle connection's takes no memory.
 pub fn poll_read_chunk(
--- a/src/bin/sillward/request_body.rs
+++ b/src/bin/sillward/request_body.rs
@@ -51,6 +51,8 @@
 pub struct BodyReader<'a> {
     /// The client's connection.
     pub client: &'a Client,
+    /// When the request's head had arrived, if it was read later than that.
+    pub head_arrived_at: Option<Instant>,
     /// The idle time that the client has left.
     pub idle_budget: IdleBudget,
     /// How long the body may wait for memory.
@@ -71,7 +73,7 @@
         let length = body.size_hint().exact().map(|length| length as usize);
         let threshold = streaming_threshold(length);
         let mut buffer = ReservedBuffer::default();
-        let mut arrived_by = None;
+        let mut arrived_by = self.head_arrived_at;
         loop {
             let (data, waited) = match self.next_chunk(&mut body).await {
                 Ok(Some(chunk)) => chunk,
--- a/src/bin/sillward/upload/tests.rs
+++ b/src/bin/sillward/upload/tests.rs
@@ -1,10 +1,11 @@
 //! Streamed request bodies alone, from clients on loopback sockets.
 
 use super::*;
-use crate::client::{Client, READ_BUFFER_BYTES};
+use crate::client::Client;
 use crate::client_stream::ClientStream;
 use crate::liveness::Liveness;
 use crate::memory::MemoryBudget;
+use crate::read_chunk::READ_BUFFER_BYTES;
 use http_body_util::{BodyExt, Full};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -5,6 +5,7 @@
 mod harness;
 mod late_answers;
 mod lists;
+mod long_heads;
 mod members;
 mod memory_limit;
 mod node_zones;
