Refuse a file that is short of what a class needs, and no other

Cause: a file needed what all running classes have, and `Group` had a default, `all`. A class that is not keyed needs neither `Group` nor `Window`, so beside such a one they were not missed. The other way round a file without the optional `AimStretch` was refused whole, and so was a class without a group added beside keyed ones.

Change: a keyed class without either key is an error. A class or tenant needs the keys of the running one of its name, a new one those that all have, apart from those which the wire lets be absent.

The running file of config::tests lacked `Group` in its keyed class; it has one now, and all its checks stay.

--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -8,11 +8,12 @@
 use crate::LEAST_SUBSET;
 use crate::control::server_table::LISTED_SERVER_BYTES;
 use crate::settings::{self, NameTable, SettingsUpdate, SiteSettings, ZonesConfig};
-use key_shape::{Shape, missing_key};
+use key_shape::{EntryShapes, Shape, missing_entry_key, missing_key};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 use std::cell::RefCell;
+use std::mem::discriminant;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -24,6 +25,19 @@
 /// The most bytes of a request's or a response's body that are buffered.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
 
+/// The keys that a file may lack, though the running one has them.
+const OPTIONAL_KEYS: [&[&str]; 4] = [
+    &["known"],
+    &["settings", "Specifics", "PassesDeadline"],
+    &["settings", "Specifics", "WarmKeys"],
+    &["settings", "Prices", "Fleet"],
+];
+/// The keys that a class may lack, though the running one of its name has them.
+const OPTIONAL_CLASS_KEYS: &[&str] = &["AimStretch"];
+/// The keys that a class may lack which is new or whose requests may be repeated in another way than before.
+/// `Group` and `Window` are for keyed classes alone, and these can't be parsed without them.
+const OPTIONAL_NEW_CLASS_KEYS: &[&str] = &["AimStretch", "Group", "Window"];
+
 /// The fewest connections with which a node can serve, clients' and backends' together.
 const MIN_CONNECTIONS: usize = 3;
 
@@ -175,8 +189,29 @@
     pub zones: Option<ZonesConfig>,
     /// The settings.
     pub site: Arc<SiteSettings>,
-    /// The keys of the file, apart from the server list: a reloaded file has to have all of them.
+    /// The keys of the file that a reloaded file has to have.
+    keys: FileKeys,
+}
+
+/// The keys of a configuration file, without their values and without those that a file may lack.
+struct FileKeys {
+    /// All but those below.
     shape: Shape,
+    /// The keys of the classes.
+    classes: EntryShapes,
+    /// The keys of the tenants.
+    tenants: EntryShapes,
+}
+
+impl FileKeys {
+    /// The keys of the file with this text.
+    fn parse(text: &str) -> Result<Self, serde_json::Error> {
+        let mut shape: Shape = serde_json::from_str(text)?;
+        OPTIONAL_KEYS.iter().for_each(|path| shape.remove_path(path));
+        let classes = EntryShapes::new(&shape.take_array(&["settings", "Classes"]));
+        let tenants = EntryShapes::new(&shape.take_array(&["settings", "Projects"]));
+        Ok(FileKeys { shape, classes, tenants })
+    }
 }
 
 /// Shared handle to the settings in force: a reload replaces them for all parts of the node at once.
@@ -227,7 +262,7 @@
         };
         let checked = Config::parse(&text).and_then(|mut new| check(&mut new).map(|()| new));
         let compacted = checked.map(|mut new| {
-            new.shape.compact();
+            new.keys.shape.compact();
             new
         });
         compacted.map_err(|error| ConfigFileError::Invalid { path, error })
@@ -249,7 +284,7 @@
     /// Checks that this configuration can replace the running one, and gives zones and host types the numbers
     /// that they have there.
     fn prepare_reload(&mut self, running: &Config) -> Result<(), ConfigError> {
-        missing_key(&running.shape, &self.shape, "").map_or(Ok(()), Err)?;
+        self.missing_key(running).map_or(Ok(()), Err)?;
         if self.site.settings.list_on_request != running.site.settings.list_on_request {
             return Err(ConfigError::RegistryModeChanged);
         }
@@ -259,6 +294,43 @@
         Ok(())
     }
 
+    /// The error for the first key that this configuration lacks to replace the running one.
+    fn missing_key(&self, running: &Config) -> Option<ConfigError> {
+        let (keys, running_keys) = (&self.keys, &running.keys);
+        let (site, running_site) = (&self.site, &running.site);
+        missing_key(&running_keys.shape, &keys.shape, "")
+            .or_else(|| {
+                missing_entry_key(
+                    (&running_keys.classes, &running_site.class_names),
+                    (&keys.classes, &site.class_names),
+                    "/settings/Classes",
+                    |running_index, index| self.optional_class_keys(running, running_index, index),
+                )
+            })
+            .or_else(|| {
+                missing_entry_key(
+                    (&running_keys.tenants, &running_site.tenant_names),
+                    (&keys.tenants, &site.tenant_names),
+                    "/settings/Projects",
+                    |_, _| &[],
+                )
+            })
+    }
+
+    /// The keys that a class may lack, by its index and that of the running class of its name.
+    fn optional_class_keys(
+        &self,
+        running: &Config,
+        running_index: Option<usize>,
+        index: usize,
+    ) -> &'static [&'static str] {
+        let kind = |config: &Config, index: usize| {
+            config.site.settings.classes.get(index).map(|class| discriminant(&class.retry_safety))
+        };
+        let same_kind = running_index.is_some_and(|at| kind(running, at) == kind(self, index));
+        if same_kind { OPTIONAL_CLASS_KEYS } else { OPTIONAL_NEW_CLASS_KEYS }
+    }
+
     /// Parses and validates the text of a configuration.
     ///
     /// # Errors
@@ -324,8 +396,7 @@
         let fleet = fleet_file
             .map(|fleet| self::validate_fleet(fleet, &file.name, file.peer_listen, file.peers, &site));
         let fleet = fleet.transpose()?;
-        let mut shape: Shape = serde_json::from_str(text).map_err(|e| ConfigError::syntax(text, 0, &e))?;
-        shape.remove_key("known");
+        let keys = FileKeys::parse(text).map_err(|e| ConfigError::syntax(text, 0, &e))?;
         let connections = file.limits.sockets.saturating_sub(RESERVED_SOCKETS);
         if connections < MIN_CONNECTIONS {
             return Err(ConfigError::TooFewSockets(file.limits.sockets));
@@ -351,7 +422,7 @@
             fleet,
             zones,
             site: Arc::new(site),
-            shape,
+            keys,
         })
     }
 }
--- a/src/control/config/tests.rs
+++ b/src/control/config/tests.rs
@@ -11,7 +11,8 @@
     "limits": {"sockets": 512}, "settings": {"Localities": ["a", "b"], "HostTypes": ["m", "n"], "Zone": 1,
     "Permissions": {"AttemptsCap": 3, "Probes": true},
     "Classes": [{"Name": "read", "Target": 1, "GiveUp": 2, "Idempotency": "free", "Credit": 1},
-                {"Name": "submit", "Target": 1, "GiveUp": 2, "Idempotency": "guarded", "Credit": 1, "Window": 9}]}}"#;
+                {"Name": "submit", "Target": 1, "GiveUp": 2, "Idempotency": "guarded", "Group": "zone",
+                 "Credit": 1, "Window": 9}]}}"#;
 
 /// The settings after a reload of [`RUNNING`] with this text.
 fn reloaded(text: &str) -> Result<Arc<SiteSettings>, ConfigError> {
@@ -29,6 +30,9 @@
         (r#""limits": {"sockets": 512}, "#, "", "/limits is missing"),
         (r#""limits": {"sockets": 512}"#, r#""limits": {}"#, "/limits/sockets is missing"),
         (r#""free", "Credit": 1"#, r#""free""#, "/settings/Classes/0/Credit is missing"),
+        (r#""Group": "zone","#, "", "class submit: Group is missing"),
+        (r#""Group": "zone""#, r#""Group": null"#, "class submit: Group is missing"),
+        (r#", "Window": 9"#, "", "class submit: Window is missing"),
         (r#""GiveUp": 2, "Idempotency": "free""#, r#""Idempotency": "free""#, "GiveUp"),
         (r#""GiveUp": 2"#, r#""GiveUp": 0"#, "not over 0"),
         (r#""GiveUp": 2"#, r#""GiveUp": -2"#, "not over 0"),
@@ -55,6 +59,73 @@
     assert_eq!(site.kind_names, ["m", "n"]);
 }
 
+/// [`RUNNING`] with these classes and tenants.
+fn with_classes(classes: &[&str], tenants: &[&str]) -> String {
+    let start = RUNNING.find(r#""Classes": ["#).expect("classes");
+    let (classes, tenants) = (classes.join(","), tenants.join(","));
+    format!(r#"{}"Classes": [{classes}], "Projects": [{tenants}]}}}}"#, &RUNNING[..start])
+}
+
+/// The result of a reload from a file to another one: the message if it is refused.
+fn reload(running: &str, new: &str) -> Result<(), String> {
+    let running = Config::parse(running).expect("good");
+    let new = Config::parse(new).and_then(|mut new| new.prepare_reload(&running));
+    new.map_err(|error| error.to_string())
+}
+
+const READ: &str = r#"{"Name": "read", "Target": 1, "GiveUp": 2, "Idempotency": "free"}"#;
+const SUBMIT: &str = r#"{"Name": "submit", "Target": 1, "GiveUp": 2, "Idempotency": "guarded", "Group": "cell", "Window": 9, "LateWorth": 0.5}"#;
+const ACME: &str = r#"{"Name": "acme", "Share": 0.5}"#;
+const OTHER: &str = r#"{"Name": "other"}"#;
+
+// Guards against files that are taken up though they lack a key which only some of the running entries have.
+#[test]
+fn an_entry_needs_the_keys_that_the_running_one_of_its_name_has() {
+    let running = with_classes(&[READ, SUBMIT], &[ACME, OTHER]);
+    assert_eq!(reload(&running, &running), Ok(()));
+    assert_eq!(reload(&running, &with_classes(&[SUBMIT, READ], &[OTHER, ACME])), Ok(()), "in another order");
+    assert_eq!(reload(&running, &with_classes(&[READ], &[OTHER])), Ok(()), "dropped ones need nothing");
+
+    let without_late_worth = SUBMIT.replace(r#", "LateWorth": 0.5"#, "");
+    let message = reload(&running, &with_classes(&[&without_late_worth, READ], &[])).expect_err("a key less");
+    assert!(message.contains("/settings/Classes/0/LateWorth is missing"), "{message}");
+    let without_share = ACME.replace(r#", "Share": 0.5"#, "");
+    let message =
+        reload(&running, &with_classes(&[READ, SUBMIT], &[OTHER, &without_share])).expect_err("a key less");
+    assert!(message.contains("/settings/Projects/1/Share is missing"), "{message}");
+    let without_tenants = running.replace(r#", "Projects""#, r#", "Formerly""#);
+    let message = reload(&running, &without_tenants).expect_err("a key less");
+    assert!(message.contains("/settings/Projects is missing"), "{message}");
+
+    let read_with_group = READ.replace(r#""free""#, r#""free", "Group": "all""#);
+    let running = with_classes(&[&read_with_group, SUBMIT], &[]);
+    let message = reload(&running, &with_classes(&[READ, SUBMIT], &[])).expect_err("a key less");
+    assert!(message.contains("/settings/Classes/0/Group is missing"), "{message}");
+}
+
+// Guards against complete files that are refused because the running one has more keys than it needs.
+#[test]
+fn a_file_may_lack_what_its_classes_do_not_need() {
+    let stretched = |class: &str| class.replace(r#""Target""#, r#""AimStretch": 0.0, "Target""#);
+    let running = with_classes(&[&stretched(READ), &stretched(SUBMIT)], &[]);
+    assert_eq!(reload(&running, &with_classes(&[READ, SUBMIT], &[])), Ok(()));
+
+    let running = with_classes(&[SUBMIT], &[]).replace(
+        r#""settings": {"#,
+        r#""settings": {"Specifics": {"WarmKeys": true, "PassesDeadline": false}, "Prices": {"Fleet": 0.1, "Probe": 1},"#,
+    );
+    let new = with_classes(&[SUBMIT, &READ.replace(r#""free""#, r#""free", "LateWorth": 0"#)], &[]);
+    let new = new.replace(r#""settings": {"#, r#""settings": {"Specifics": {}, "Prices": {"Probe": 1},"#);
+    assert_eq!(reload(&running, &new), Ok(()), "an added class that is not keyed");
+
+    let unkeyed = SUBMIT.replace(r#""guarded", "Group": "cell", "Window": 9"#, r#""single_shot""#);
+    let running = with_classes(&[SUBMIT], &[]);
+    assert_eq!(reload(&running, &with_classes(&[&unkeyed], &[])), Ok(()), "a class that is keyed no more");
+    let added = SUBMIT.replace("submit", "sign").replace(r#""Group": "cell", "#, "");
+    let message = reload(&running, &with_classes(&[SUBMIT, &added], &[])).expect_err("a key less");
+    assert!(message.contains("class sign: Group is missing"), "{message}");
+}
+
 #[test]
 fn an_added_class_needs_only_the_keys_that_all_classes_have() {
     let added = r#""Classes": [{"Name": "correct", "Target": 1, "GiveUp": 2, "Idempotency": "single_shot", "Credit": 2},"#;
@@ -165,14 +236,15 @@
 
 #[test]
 fn the_kept_keys_do_not_grow_with_the_number_of_entries() {
-    let shape = |text: &str| {
+    let kept = |text: &str| {
         let mut config = Config::parse(text).expect("good").without_known_list();
-        config.shape.compact();
-        config.shape
+        config.keys.shape.compact();
+        let FileKeys { shape, classes, tenants } = config.keys;
+        (shape, classes.kept(), tenants.kept())
     };
     let last = r#"{"Name":"last","AllowancePerS":1,"Share":0.5}"#;
     let few = RUNNING.replace(r#""settings": {"#, &format!(r#""settings": {{"Projects": [{last}],"#));
-    assert_eq!(shape(&with_many_entries(last)), shape(&few));
+    assert_eq!(kept(&with_many_entries(last)), kept(&few));
 }
 
 // ---- Keys that a reloaded file lacks --------------------------------------------------------------
--- a/src/settings/text.rs
+++ b/src/settings/text.rs
@@ -6,7 +6,7 @@
 
 use super::{NameTable, ReportColumn, SettingsError, SiteSettings, millis};
 use crate::interface::*;
-use serde::de::{SeqAccess, Visitor};
+use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use std::borrow::Cow;
 use std::fmt;
@@ -22,10 +22,9 @@
 }
 
 /// The scope of an idempotency key; becomes [`DedupScope`].
-#[derive(Clone, Copy, Default, Deserialize)]
+#[derive(Clone, Copy, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Group {
-    #[default]
     All,
     Zone,
     Cell,
@@ -73,16 +72,17 @@
     /// Becomes [`Class::deadline`].
     give_up: f64,
     idempotency: Idempotency,
+    /// Needed by a guarded class alone.
     #[serde(default)]
-    group: Group,
+    group: Option<Group>,
     /// Becomes [`Class::late_value`].
     #[serde(default)]
     late_worth: f64,
     #[serde(default)]
     stream: bool,
-    /// The retention time of an idempotency key.
+    /// The retention time of an idempotency key. Needed by a guarded class alone.
     #[serde(default)]
-    window: f64,
+    window: Option<f64>,
     /// Becomes [`Class::value`].
     #[serde(default = "default_one")]
     credit: f64,
@@ -106,7 +106,16 @@
     /// What it becomes in the settings; the name is stored apart.
     type Converted;
     fn name(&self) -> &str;
-    fn convert(&self) -> Self::Converted;
+    /// Converts it, or says what is missing.
+    fn convert(&self) -> Result<Self::Converted, MissingClassKey>;
+}
+
+/// A guarded class lacks a key that bounds where and when its requests may be sent again.
+#[derive(Debug, thiserror::Error)]
+#[error("class {class}: {key} is missing; expected it, as the class is guarded")]
+struct MissingClassKey {
+    class: String,
+    key: &'static str,
 }
 
 impl<'de> NamedEntry<'de> for RawClass<'de> {
@@ -114,7 +123,7 @@
     fn name(&self) -> &str {
         &self.name
     }
-    fn convert(&self) -> Class {
+    fn convert(&self) -> Result<Class, MissingClassKey> {
         class(self)
     }
 }
@@ -124,8 +133,8 @@
     fn name(&self) -> &str {
         &self.name
     }
-    fn convert(&self) -> Tenant {
-        Tenant { rate_limit_per_s: self.allowance_per_s, share: self.share }
+    fn convert(&self) -> Result<Tenant, MissingClassKey> {
+        Ok(Tenant { rate_limit_per_s: self.allowance_per_s, share: self.share })
     }
 }
 
@@ -156,7 +165,7 @@
             let mut list = NamedList::default();
             while let Some(entry) = sequence.next_element::<R>()? {
                 list.names.push_deserialized(entry.name())?;
-                list.entries.push(entry.convert());
+                list.entries.push(entry.convert().map_err(A::Error::custom)?);
             }
             list.names.shrink();
             list.entries.shrink_to_fit();
@@ -367,25 +376,35 @@
     })
 }
 
-fn class(raw: &RawClass) -> Class {
-    let scope = match raw.group {
-        Group::All => DedupScope::All,
-        Group::Zone => DedupScope::Zone,
-        Group::Cell => DedupScope::Cell,
+impl From<Group> for DedupScope {
+    fn from(group: Group) -> Self {
+        match group {
+            Group::All => DedupScope::All,
+            Group::Zone => DedupScope::Zone,
+            Group::Cell => DedupScope::Cell,
+        }
+    }
+}
+
+fn class(raw: &RawClass) -> Result<Class, MissingClassKey> {
+    let missing = |key| MissingClassKey { class: raw.name.clone().into_owned(), key };
+    let retry_safety = match raw.idempotency {
+        Idempotency::Free => RetrySafety::Idempotent,
+        Idempotency::Guarded => RetrySafety::Keyed {
+            scope: raw.group.ok_or_else(|| missing("Group"))?.into(),
+            window: millis(raw.window.ok_or_else(|| missing("Window"))?),
+        },
+        Idempotency::SingleShot => RetrySafety::NonIdempotent,
     };
-    Class {
+    Ok(Class {
         latency_target: millis(raw.target),
         target_stretch: raw.aim_stretch,
         deadline: millis(raw.give_up),
         value: raw.credit,
         late_value: raw.late_worth,
-        retry_safety: match raw.idempotency {
-            Idempotency::Free => RetrySafety::Idempotent,
-            Idempotency::Guarded => RetrySafety::Keyed { scope, window: millis(raw.window) },
-            Idempotency::SingleShot => RetrySafety::NonIdempotent,
-        },
+        retry_safety,
         streamed: raw.stream,
-    }
+    })
 }
 
 fn limits(raw: &RawLimits) -> Limits {
--- a/tests/operations/mod.rs
+++ b/tests/operations/mod.rs
@@ -259,6 +259,42 @@
     assert_eq!(node.client().request("POST /correct/1", &common_headers(DEADLINE_MS), b"").status(), 404);
 }
 
+// Guards against a keyed class without its group that is taken up and whose requests then run in two groups.
+#[test]
+fn a_file_that_is_short_of_a_class_s_group_changes_nothing() {
+    let backends = [0, 1].map(|_| Backend::start(|_| Reply::Answer("500 Oops", "", vec![])));
+    let keyless = |settings: String, class: &str| {
+        let idempotency = format!(r#""Idempotency":"{class}""#);
+        settings.replace(&format!(r#"{idempotency},"Group":"zone","Window":60000"#), &idempotency)
+    };
+    // Classes that are not keyed need neither key.
+    let running = keyless(keyless(settings(DEADLINE_MS, ""), "free"), "single_shot");
+    let (node, mut watch, discovery) = serving_node(&running, &[]);
+    let entries = [("s-0", "a"), ("s-1", "b")].map(|(name, zone)| {
+        let index = usize::from(zone == "b");
+        entry(name, backends[index].address, "in_service")
+            .replace(r#""zone":"a""#, &format!(r#""zone":"{zone}""#))
+    });
+    watch.send_line(&list(9, true, &entries));
+    let request_total = || backends.iter().map(Backend::request_count).sum::<usize>();
+    let submit = || {
+        let headers = format!("{}Idempotency-Key: 1\r\n", common_headers(DEADLINE_MS));
+        node.client().request("POST /submit/1", &headers, b"sheet").status()
+    };
+    wait_until(|| submit() == 502, "the list to apply");
+    for key in [r#""Group":"zone","#, r#","Window":60000"#] {
+        let short = running.replacen(key, "", 1);
+        assert_ne!(short, running);
+        node.reload(&with_ops(&config(discovery.address, &short, 1024)));
+        let name = key.trim_matches([',', '"']).split('"').next().expect("a name");
+        let line = node.wait_for_log(&format!("class submit: {name} is missing"));
+        assert!(line.contains("all stays as it was"), "{line}");
+        let before = request_total();
+        assert_eq!(submit(), 502, "it may have run");
+        assert_eq!(request_total(), before + 1, "a retry went to another zone");
+    }
+}
+
 // ---- Hot restart --------------------------------------------------------------------------------
 
 #[test]
