Don't send an upload on once a shutdown has let go of bodies that still arrive

Uploads that waited for a server got no answer in the shutdown at all.

Cause: the time for bodies stopped the attempts that were out, and an attempt that has taken nothing of a body ends as not sent, which permits another one. The stop was in time: in the test the first attempt ends at 0.65 s, and its connection never comes up. A request without an attempt was not touched.

Change: Event::BodyAbandoned tells the decision module first. No further attempt can send the body; its request is refused at once or when its attempt has ended. An upload that is handed over after that is refused too. Whole uploads are kept.

--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -80,6 +80,8 @@
     requests: BTreeMap<RequestId, PendingRequest>,
     executed_requests: Rc<SharedExecutedRequests>,
     timers: TimerQueue,
+    /// Whether requests are accepted whose bodies are still arriving.
+    receives_bodies: bool,
 }
 
 impl Node {
@@ -104,6 +106,7 @@
             requests: BTreeMap::new(),
             executed_requests,
             timers: TimerQueue::new(),
+            receives_bodies: true,
         }
     }
 
@@ -175,17 +178,7 @@
             Message::SubsetQuery(reply) => {
                 let _ = reply.send(self.subset_status()); // the caller may have gone
             }
-            Message::BodyDeadline => {
-                let incomplete = self.requests.iter().filter(|(_, pending)| !pending.received);
-                let attempts =
-                    incomplete.flat_map(|(id, pending)| (0..pending.attempts.len()).map(|i| (*id, i as u32)));
-                // The decision module is told that these attempts were not sent in full, and gives the
-                // answer.
-                attempts
-                    .collect::<Vec<_>>()
-                    .into_iter()
-                    .for_each(|(id, i)| self.stop_attempt(id, i, StopReason::Cancelled));
-            }
+            Message::BodyDeadline => self.abandon_bodies(),
             Message::Settings(update) => {
                 let SettingsUpdate { site, settings, previous_classes, previous_tenants } = *update;
                 self.site = site;
@@ -195,6 +188,19 @@
         }
     }
 
+    /// From now on no body that is still arriving is received: its attempts are stopped, and the decision module
+    /// answers its request. Since it was not sent in full, it has not run.
+    fn abandon_bodies(&mut self) {
+        self.receives_bodies = false;
+        let incomplete = self.requests.iter().filter(|(_, pending)| !pending.received);
+        for id in incomplete.map(|(id, _)| *id).collect::<Vec<_>>() {
+            // Told first, so that the end of an attempt does not lead to another one.
+            self.handle_event(Event::BodyAbandoned { id });
+            let attempts = self.requests.get(&id).map_or(0, |pending| pending.attempts.len());
+            (0..attempts).for_each(|i| self.stop_attempt(id, i as u32, StopReason::Cancelled));
+        }
+    }
+
     fn on_list(&mut self, update: ListUpdate) {
         match &mut self.server_table {
             Some(server_table) => {
@@ -226,6 +232,10 @@
 
     fn on_request(&mut self, accepted: Box<AcceptedRequest>) {
         let AcceptedRequest { mut request, received_at, forward, reply } = *accepted;
+        if request.body_streaming && !self.receives_bodies {
+            let _ = reply.send(Answer::Refused(None)); // fails if the client has just disconnected
+            return;
+        }
         let (id, deadline) = (request.id, forward.deadline.get());
         let waited = self.clock.now().saturating_sub(received_at);
         request.remaining = request.remaining.saturating_sub(waited);
--- a/src/bin/sillward/node/tests.rs
+++ b/src/bin/sillward/node/tests.rs
@@ -45,8 +45,13 @@
 }
 
 fn request(node: &mut Node, number: u64) -> oneshot::Receiver<Answer> {
+    request_with(node, number, false)
+}
+
+/// A request, whose body may still be arriving.
+fn request_with(node: &mut Node, number: u64, body_streaming: bool) -> oneshot::Receiver<Answer> {
     let (at, remaining) = (node.clock.now(), Duration::from_secs(1));
-    let new = NewRequest { id: RequestId(number), remaining, ..NewRequest::default() };
+    let new = NewRequest { id: RequestId(number), remaining, body_streaming, ..NewRequest::default() };
     let forward = ForwardedRequest {
         method: Method::GET,
         path: PathAndQuery::from_static("/read/1"),
@@ -84,6 +89,21 @@
     });
 }
 
+/// Guards against a body that is accepted in the moment in which a shutdown lets go of those that still arrive.
+#[test]
+fn a_request_whose_body_still_arrives_is_refused_after_the_body_deadline() {
+    with_node(async |mut node| {
+        let _listeners = list_backends(&mut node, 1).await;
+        node.handle_message(Message::BodyDeadline);
+        let mut refused = request_with(&mut node, 1, true);
+        assert!(matches!(refused.try_recv(), Ok(Answer::Refused(_))));
+        assert_eq!(node.requests.len(), 0);
+        let mut whole = request(&mut node, 2);
+        assert!(matches!(whole.try_recv(), Err(oneshot::error::TryRecvError::Empty)), "it is sent on");
+        assert_eq!(node.requests.len(), 1);
+    });
+}
+
 // ---- Races between the start of a response and the end of its attempt -----------------------------
 
 const LENGTH: usize = 2 * MAX_BUFFERED_BYTES;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -493,6 +493,12 @@
         /// How long ago that was.
         age: Duration,
     },
+    /// The rest of a [streamed request body](NewRequest::body_streaming) is not received any more. Attempts that
+    /// are sending it are being stopped, and no further attempt can send it.
+    BodyAbandoned {
+        /// The request.
+        id: RequestId,
+    },
     /// A streamed answer has started. No other attempt can answer the client from now on.
     AnswerStarted {
         /// The request.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -61,6 +61,7 @@
             Event::SubsetRings(rings) => self.subset_rings = rings,
             Event::Request(new) => self.on_request(new, actions),
             Event::BodyReceived { id, age } => self.on_body_received(id, age, actions),
+            Event::BodyAbandoned { id } => self.on_body_abandoned(id, actions),
             Event::AnswerStarted { id, attempt, .. } => self.on_answer_started(id, attempt, actions),
             Event::AttemptEnded(end) => self.on_attempt_ended(end, actions),
             Event::ClientGone { id } => self.close(id, actions),
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -73,6 +73,16 @@
         actions.push(Action::SetTimer { after: expires.saturating_sub(now), token: id.0 });
     }
 
+    /// The rest of a body is not received any more. Its request is refused now, or once the attempt that is
+    /// sending the body has ended.
+    pub(super) fn on_body_abandoned(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.receiving.is_some()) else { return };
+        request.body_consumed = true;
+        if request.in_flight() == 0 {
+            self.refuse_or_fail(id, actions);
+        }
+    }
+
     /// The client has the first bytes of an answer: other attempts in flight are of no use any more.
     pub(super) fn on_answer_started(&mut self, id: RequestId, attempt: u32, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -227,7 +227,7 @@
     pub streamed_body: bool,
     /// While its body still arrives: the request as it was received.
     pub receiving: Option<NewRequest>,
-    /// An attempt has consumed its body, so that it can't be sent again.
+    /// Its body can't be sent by a further attempt: one has consumed it, or the rest is not received any more.
     pub body_consumed: bool,
     /// It needs no answer any more.
     pub done: bool,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1176,6 +1176,31 @@
     assert!(harness.answered(id));
 }
 
+// Guards against attempts that begin once the rest of a request's body is not received any more.
+#[test]
+fn an_abandoned_body_is_refused_and_gets_no_further_attempt() {
+    let mut harness = Harness::new(settings());
+    let (waiting, actions) = receive_streamed(&mut harness, 1);
+    assert!(sent_to(&actions).is_empty(), "no server is listed");
+    assert!(refused(&harness.handle(Event::BodyAbandoned { id: waiting })));
+
+    for outcome in [Outcome::NotSent, Outcome::ConnectFailed] {
+        let mut harness = Harness::with_servers(settings(), 4);
+        let (id, actions) = receive_streamed(&mut harness, 1);
+        assert_eq!(sent_to(&actions).len(), 1);
+        assert_eq!(harness.handle(Event::BodyAbandoned { id }), [], "its attempt has not ended");
+        let end = harness.end_attempt(id, 0, outcome, None);
+        assert_eq!((sent_to(&end).len(), refused(&end)), (0, true), "{outcome:?}");
+    }
+
+    let mut harness = Harness::with_servers(settings(), 4);
+    let (whole, _) = receive_streamed(&mut harness, 1);
+    harness.handle(Event::BodyReceived { id: whole, age: Duration::ZERO });
+    assert_eq!(harness.handle(Event::BodyAbandoned { id: whole }), [], "all of it has arrived");
+    let again = harness.end_attempt(whole, 0, Outcome::ConnectFailed, None);
+    assert_eq!(sent_to(&again).len(), 1, "{again:?}");
+}
+
 #[test]
 fn a_started_answer_cancels_the_other_attempt() {
     let mut harness = Harness::with_servers(settings(), 4);
--- a/tests/uploads/mod.rs
+++ b/tests/uploads/mod.rs
@@ -1,9 +1,11 @@
 //! Requests with streamed bodies whose backends fail: what their clients are answered, and when.
 
 use crate::harness::*;
+use rustix::fd::OwnedFd;
 use rustix::net::sockopt::set_socket_linger;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, connect, getsockname, listen, socket_with};
 use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
@@ -93,6 +95,128 @@
     });
 }
 
+/// A backend to which no connection comes up while this is held: its accept queue is full, so that the kernel drops
+/// what asks for another one.
+struct UnreachableBackend {
+    address: SocketAddr,
+    /// The local ports of the connections that fill the queue.
+    queued_ports: Vec<u16>,
+    _listener: OwnedFd,
+    _queued: Vec<OwnedFd>,
+}
+
+impl UnreachableBackend {
+    /// More than fit into the shortest queue.
+    const QUEUED_CONNECTIONS: usize = 4;
+    // States in the kernel's table.
+    const ESTABLISHED: &str = "01";
+    const SYN_SENT: &str = "02";
+
+    fn start() -> Self {
+        let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+        let socket = || socket_with(AddressFamily::INET, SocketType::STREAM, flags, None).expect("a socket");
+        let address_of = |socket: &OwnedFd| {
+            SocketAddr::try_from(getsockname(socket).expect("its address")).expect("an IPv4 address")
+        };
+        let listener = socket();
+        let any_port: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        bind(&listener, &any_port).expect("a port");
+        listen(&listener, 0).expect("the shortest queue");
+        let address = address_of(&listener);
+        let queue = || {
+            let connection = socket();
+            let _ = connect(&connection, &address); // in progress
+            connection
+        };
+        let queued: Vec<_> = (0..Self::QUEUED_CONNECTIONS).map(|_| queue()).collect();
+        let queued_ports = queued.iter().map(|socket| address_of(socket).port()).collect();
+        let backend = UnreachableBackend { address, queued_ports, _listener: listener, _queued: queued };
+        let is_full = || backend.connections().any(|(_, state)| state == Self::ESTABLISHED);
+        wait_until(is_full, "a full accept queue");
+        backend
+    }
+
+    /// The connections to it: local port and state of each.
+    fn connections(&self) -> impl Iterator<Item = (u16, String)> {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the connections");
+        let port = format!(":{:04X}", self.address.port());
+        let rows: Vec<_> = table.lines().skip(1).filter_map(|line| row_to(line, &port)).collect();
+        rows.into_iter()
+    }
+
+    /// Whether a node waits for a connection to it.
+    fn is_awaited(&self) -> bool {
+        self.connections().any(|(port, state)| state == Self::SYN_SENT && !self.queued_ports.contains(&port))
+    }
+}
+
+/// The local port and the state in a row of the kernel's table, if it is that of a connection to this port.
+fn row_to(line: &str, port: &str) -> Option<(u16, String)> {
+    let mut fields = line.split_whitespace().skip(1);
+    let (local, remote, state) = (fields.next()?, fields.next()?, fields.next()?);
+    let local_port = u16::from_str_radix(local.rsplit(':').next()?, 16).ok()?;
+    remote.ends_with(port).then(|| (local_port, state.to_owned()))
+}
+
+/// Sends half of a long body of the class `submit` and goes on slowly, until the node takes no more.
+fn start_slow_upload(node: &Node) -> (Client, JoinHandle<()>) {
+    const PIECE_BYTES: usize = 3200;
+    let mut client = node.client();
+    let headers = format!("Idempotency-Key: 1\r\n{}", common_headers(20_000));
+    let length = 2 * MAX_BUFFERED_BYTES;
+    let head = format!("POST /submit/1 HTTP/1.1\r\nHost: a\r\n{headers}Content-Length: {length}\r\n\r\n");
+    client.write(&[head.as_bytes(), &vec![b'x'; MAX_BUFFERED_BYTES]].concat());
+    let mut sender = client.write_handle();
+    let sending = spawn(move || {
+        for _ in 0..MAX_BUFFERED_BYTES / PIECE_BYTES {
+            sleep(Duration::from_millis(50));
+            if sender.write_all(&[b'x'; PIECE_BYTES]).is_err() {
+                return;
+            }
+        }
+        let _ = sender.write_all(&[b'x'; MAX_BUFFERED_BYTES % PIECE_BYTES]);
+    });
+    (client, sending)
+}
+
+/// Guards against an attempt with a body that begins once a shutdown lets go of those that still arrive: its server
+/// may run the request with no time left for the answer.
+#[test]
+fn an_upload_that_waits_for_a_connection_or_a_server_is_refused_in_a_shutdown() {
+    for is_listed in [true, false] {
+        let unreachable = UnreachableBackend::start();
+        let backend = Backend::start(|_| ok("fine"));
+        let discovery = Discovery::start();
+        let mut node = Node::start(&config(discovery.address, &settings(20_000, ""), 1024), "");
+        let listed = is_listed.then(|| entry("s-0", unreachable.address, "in_service"));
+        let line = list(9, true, &Vec::from_iter(listed));
+        let mut watch = discovery.send_list_until(&line, || node.is_ready(), "readiness");
+        let (mut client, sending) = start_slow_upload(&node);
+        if is_listed {
+            wait_until(|| unreachable.is_awaited(), "an attempt that waits for its connection");
+        }
+        // All of that has arrived once a later request is answered.
+        assert!(node.is_ready());
+        node.terminate();
+        let terminated = Instant::now();
+        if is_listed {
+            // A second server is listed before the first attempt is given up.
+            watch.send_line(&list(10, false, &[entry("s-1", backend.address, "in_service")]));
+        }
+        let answer = client.answer().expect("an answer");
+        assert_eq!(
+            (answer.status(), answer.header("connection")),
+            (503, Some("close")),
+            "listed: {is_listed}"
+        );
+        assert!(terminated.elapsed() < PAST_BODY_DEADLINE, "{:?}, listed: {is_listed}", terminated.elapsed());
+        drop(client);
+        sending.join().expect("the sender ends");
+        assert_eq!(node.wait_for_exit().code(), Some(0));
+        assert_eq!(backend.request_count(), 0, "listed: {is_listed}");
+    }
+}
+
 /// Guards against letting go of a request at a shutdown that has been accepted whole.
 #[test]
 fn a_whole_request_is_answered_in_a_shutdown() {
