Refuse requests that HTTP or the protocol leave ambiguous

A peer that sends no proper request is owed an error, and serving it breaks the rule on lost requests.

Cause: hyper leaves the check of Host to its user, and the first of several values was taken.

Change: HTTP/1.1 needs one valid Host; a header that identifies a request or sets its limits may stand once; an empty key is none.

Measured: ambiguous_requests_get_an_error_and_reach_no_backend failed before (200 in place of 400) and passes.

--- a/src/bin/sillward/request_head.rs
+++ b/src/bin/sillward/request_head.rs
@@ -6,10 +6,10 @@
 use hillpick::control::transfer_coding;
 use hillpick::settings::SiteSettings;
 use hillpick::{NewRequest, RequestId, RetrySafety};
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::http::uri::PathAndQuery;
-use hyper::{Method, StatusCode};
+use hyper::http::uri::{Authority, PathAndQuery};
+use hyper::{Method, StatusCode, Version};
 use std::cell::Cell;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
@@ -19,6 +19,9 @@
 const MAX_BUDGET_MS: u64 = 600_000;
 /// Longest `X-Call-Id` that is accepted.
 const MAX_CALL_ID_BYTES: usize = 256;
+/// Headers that identify a request or set its limits. With two values it would be another request at the server than
+/// at the node.
+const SINGLE_FIELDS: [&str; 4] = ["x-call-id", "idempotency-key", "x-budget-ms", "x-caller"];
 const BAD_REQUEST: StatusCode = StatusCode::BAD_REQUEST;
 
 /// The response to a request that is not accepted: a 4xx, which promises nothing, or a 503, which promises
@@ -47,6 +50,10 @@
         if !transfer_coding::is_decoded(&head.headers) {
             return Err((StatusCode::NOT_IMPLEMENTED, "unsupported transfer coding"));
         }
+        check_host(head)?;
+        if SINGLE_FIELDS.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
+            return Err((BAD_REQUEST, "a header that may stand once stands twice"));
+        }
         let path = head.uri.path_and_query().ok_or((BAD_REQUEST, "no path"))?;
         let mut segments = path.path().strip_prefix('/').ok_or((BAD_REQUEST, "no path"))?.split('/');
         let class_name = segments.next().unwrap_or_default();
@@ -57,7 +64,8 @@
         if head.method != method {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method for this class"));
         }
-        let idempotency_key = head.headers.get("idempotency-key").map(copy_value);
+        let idempotency_key =
+            head.headers.get("idempotency-key").filter(|key| !key.is_empty()).map(copy_value);
         let dedup_window = match retry_safety {
             RetrySafety::Keyed { window, .. } if idempotency_key.is_some() => Some(*window),
             RetrySafety::Keyed { .. } => return Err((BAD_REQUEST, "no Idempotency-Key")),
@@ -125,6 +133,20 @@
     }
 }
 
+/// Checks `Host` as HTTP/1.1 requires: one valid value. HTTP/1.0 permits none.
+fn check_host(head: &Parts) -> Result<(), Rejection> {
+    let mut values = head.headers.get_all(HOST).iter();
+    let is_valid = match (values.next(), values.next()) {
+        (None, _) => head.version < Version::HTTP_11,
+        (Some(host), None) => {
+            host.is_empty()
+                || Authority::try_from(host.as_bytes()).is_ok() && !host.as_bytes().contains(&b'@')
+        }
+        (Some(_), Some(_)) => false,
+    };
+    if is_valid { Ok(()) } else { Err((BAD_REQUEST, "no valid Host, or more than one")) }
+}
+
 fn copy_value(value: &HeaderValue) -> HeaderValue {
     HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -443,6 +443,42 @@
     assert_eq!((answer.status(), backend.next_request().1.body.len()), (200, 64 * 1024));
 }
 
+// Guards against requests that are served though HTTP or the protocol leaves open what they are.
+#[test]
+fn ambiguous_requests_get_an_error_and_reach_no_backend() {
+    let backend = Backend::start(|_| ok("fine"));
+    let (node, _watch, _discovery) = serving_node(&settings(LONG_MS, ""), &[&backend]);
+    let send = |version: &str, extra: &str| {
+        let mut client = node.client();
+        let headers = common_headers(5000);
+        let head = format!("POST /submit/1 {version}\r\n{headers}{extra}Content-Length: 5\r\n\r\nsheet");
+        client.write(head.as_bytes());
+        client.answer().expect("an answer").status()
+    };
+    let (host, key) = ("Host: a\r\n", "Idempotency-Key: 1\r\n");
+    for extra in [
+        key.to_owned(),
+        format!("{host}{key}Host: b\r\n"),
+        format!("{host}{key}{host}"),
+        format!("{key}Host: a b\r\n"),
+        format!("{key}Host: a/b\r\n"),
+        format!("{key}Host: c@a\r\n"),
+        format!("{host}{key}X-Call-Id: 00000000000fffff\r\n"),
+        format!("{host}{key}X-Budget-Ms: 4000\r\n"),
+        format!("{host}{key}X-Caller: acme\r\n"),
+        format!("{host}{key}{key}"),
+        format!("{host}{key}Idempotency-Key: 2\r\n"),
+        format!("{host}Idempotency-Key: \r\n"),
+    ] {
+        assert_eq!(send("HTTP/1.1", &extra), 400, "{extra}");
+    }
+    assert_eq!(backend.request_count(), 0);
+    for host in ["Host: a\r\n", "Host: a:8081\r\n", "Host: [::1]:8081\r\n", "Host:\r\n"] {
+        assert_eq!(send("HTTP/1.1", &format!("{host}{key}")), 200, "{host}");
+    }
+    assert_eq!(send("HTTP/1.0", key), 200, "HTTP/1.0 needs no Host");
+}
+
 #[test]
 fn idle_client_connections_are_closed_for_new_ones() {
     let backend = Backend::start(|_| ok(""));
