Test that a connection whose whole head waits for memory is not shed

Cause: the change for long heads keeps such a connection, and no test held that; each read of a client's bytes allocated.

--- a/src/bin/sillward/client_stream.rs
+++ b/src/bin/sillward/client_stream.rs
@@ -68,9 +68,11 @@
 
     /// Keeps the last of the bytes that were read.
     fn record_tail(&mut self, read: &[u8]) {
-        let mut last = self.read_tail.to_vec();
-        last.extend_from_slice(&read[read.len().saturating_sub(TAIL_BYTES)..]);
-        self.read_tail.copy_from_slice(&last[last.len() - TAIL_BYTES..]);
+        self.read_tail = match *read {
+            [.., before_last, last] => [before_last, last],
+            [only] => [self.read_tail[TAIL_BYTES - 1], only],
+            [] => self.read_tail,
+        };
     }
 }
 
--- a/src/bin/sillward/frontend/long_heads.rs
+++ b/src/bin/sillward/frontend/long_heads.rs
@@ -50,6 +50,19 @@
     });
 }
 
+// Guards against requests that have arrived and are dropped to make room for other connections.
+#[test]
+fn a_connection_whose_whole_head_waits_for_memory_is_not_shed() {
+    run_without_memory(async |frontend, all_memory, mut inbox, _peer| {
+        sleep(MAX_UNREAD_WAIT / 2).await;
+        frontend.shed_longest_idle();
+        frontend.clients.borrow().values().for_each(|client| client.close.notify_one());
+        sleep(MAX_UNREAD_WAIT / 4).await;
+        drop(all_memory);
+        assert!(matches!(inbox.recv().await, Some(Message::Request(_))));
+    });
+}
+
 // Guards against whole requests that get no answer because their heads wait for memory without a limit.
 #[test]
 fn a_whole_head_that_gets_no_memory_is_refused_in_time() {
