--- a/src/bin/sillward/head_memory.rs
+++ b/src/bin/sillward/head_memory.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// How often the kernel is asked whether the rest of a waiting head has arrived.
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// As much of what was read as can hold the beginning of a head's end.
 pub const TAIL_BYTES: usize = 2;
 
