Keep the ports that tests take for closed from the tests beside them

Change: ClosedPort keeps a bound socket that does not listen; the five tests that need such a port use it. They check as much as before: a connect to it is refused.

--- a/tests/bodies/mod.rs
+++ b/tests/bodies/mod.rs
@@ -249,10 +249,10 @@
 
 #[test]
 fn a_streamed_request_is_retried_while_none_of_it_has_been_sent() {
-    let unused_address = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let unused = ClosedPort::bind();
     let backend = Backend::start(|message| ok(&message.body.len().to_string()));
     let (node, mut watch, _discovery) = serving_node(&settings(DEADLINE_MS, ""), &[]);
-    let entries = [entry("s-0", unused_address, "in_service"), entry("s-1", backend.address, "in_service")];
+    let entries = [entry("s-0", unused.address, "in_service"), entry("s-1", backend.address, "in_service")];
     watch.send_line(&list(9, true, &entries));
     for _ in 0..6 {
         let answer = node.client().request("POST /correct/1", &common_headers(DEADLINE_MS), &bytes(MIB));
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -1,6 +1,8 @@
 //! Test harness: runs a node as a process and provides scripted peers for it, that is backends, discovery and
 //! clients. Tests wait for events; `TEST_TIMEOUT` only ends a test that hangs.
 
+use rustix::fd::OwnedFd;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, getsockname, socket_with};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -569,6 +571,26 @@
     }
 }
 
+/// An address that refuses connections. It is kept from others while this is held.
+pub struct ClosedPort {
+    /// The address.
+    pub address: SocketAddr,
+    _socket: OwnedFd,
+}
+
+impl ClosedPort {
+    /// Binds a port and does not listen on it.
+    pub fn bind() -> Self {
+        let socket = socket_with(AddressFamily::INET, SocketType::STREAM, SocketFlags::CLOEXEC, None);
+        let socket = socket.expect("a socket");
+        let any_port: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        bind(&socket, &any_port).expect("a port");
+        let address =
+            SocketAddr::try_from(getsockname(&socket).expect("its address")).expect("an IPv4 address");
+        ClosedPort { address, _socket: socket }
+    }
+}
+
 /// The bytes that were written to the connection from this local port to this address and that the peer's
 /// machine has not acknowledged.
 pub fn unacknowledged_bytes(port: u16, to: SocketAddr) -> u64 {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -18,7 +18,6 @@
 mod uploads;
 
 use harness::*;
-use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -92,13 +91,13 @@
         assert_eq!(node.client().request_correct().body, b"second", "{status}");
     }
     // A backend that refuses connections.
-    let closed_port = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let closed_port = ClosedPort::bind();
     let backend = Backend::start(|_| ok("here"));
     let (node, mut watch, _discovery) = serving_node(&settings(LONG_MS, ""), &[]);
     watch.send_line(&list(
         9,
         true,
-        &[entry("s-0", closed_port, "in_service"), entry("s-1", backend.address, "in_service")],
+        &[entry("s-0", closed_port.address, "in_service"), entry("s-1", backend.address, "in_service")],
     ));
     for _ in 0..8 {
         assert_eq!(node.client().request_correct().body, b"here");
@@ -273,8 +272,8 @@
 #[test]
 fn a_node_that_starts_while_discovery_is_down_serves_from_its_configured_list() {
     let backend = Backend::start(|_| ok("known"));
-    let down = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
-    let config = config(down, &settings(LONG_MS, ""), 1024);
+    let down = ClosedPort::bind();
+    let config = config(down.address, &settings(LONG_MS, ""), 1024);
     let known = entry("s-0", backend.address, "in_service");
     let config = config.replace("\"endpoints\":[]", &format!("\"endpoints\":[{known}]"));
     // Index 0 is valid: discovery counts from 0.
--- a/tests/races/handover.rs
+++ b/tests/races/handover.rs
@@ -212,10 +212,10 @@
 fn a_process_with_a_known_list_becomes_ready_while_discovery_is_unusable() {
     let backend = Backend::start(|_| ok("fine"));
     let known = list(7, true, &[entry("s-0", backend.address, "in_service"), r#"{"name":1}"#.into()]);
-    let refuses = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let refuses = ClosedPort::bind();
     let silent = TcpListener::bind("127.0.0.1:0").expect("a port"); // it never accepts
     let breaks = Discovery::start();
-    for address in [refuses, silent.local_addr().expect("its address"), breaks.address] {
+    for address in [refuses.address, silent.local_addr().expect("its address"), breaks.address] {
         let config = with_ops(&with_known_list(&config(address, &settings(DEADLINE_MS, ""), 1024), &known));
         let mut node = Node::start(&config, "");
         if address == breaks.address {
@@ -260,8 +260,9 @@
 fn thirty_processes_that_start_at_once_without_discovery_all_become_ready() {
     let backend = Backend::start(|_| ok("fine"));
     let known = list(7, true, &[entry("s-0", backend.address, "in_service")]);
-    let refuses = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
-    let config = with_ops(&with_known_list(&config(refuses, &settings(DEADLINE_MS, ""), 1024), &known));
+    let refuses = ClosedPort::bind();
+    let config =
+        with_ops(&with_known_list(&config(refuses.address, &settings(DEADLINE_MS, ""), 1024), &known));
     let starts: Vec<_> = (0..30)
         .map(|_| {
             let config = config.clone();
