Tests: release each request of the memory test by itself

Cause: in the test. All three requests waited at their backends on one channel. The test released two of them and meant the first and the small one, but the answer to the first lets the second one go to a backend, and there its thread may get to the channel before the small one's, which had arrived and had not been scheduled yet. The node did what it should.

Change: the backends hold a request until its own path is released.

--- a/tests/bodies/mod.rs
+++ b/tests/bodies/mod.rs
@@ -1,6 +1,7 @@
 //! Bodies that are too long to buffer, slow bodies, and the ways in which HTTP/1.1 frames bodies.
 
 use crate::first_attempt_gets;
+use crate::harness::held_requests::HeldRequests;
 use crate::harness::*;
 use std::io::{Read, Write};
 use std::net::TcpListener;
@@ -350,12 +351,11 @@
 
 #[test]
 fn buffered_bodies_take_a_limited_part_of_memory_and_others_wait() {
-    let (release, release_gate) = channel::<()>();
-    let release_gate = Arc::new(Mutex::new(release_gate));
+    let held = Arc::new(HeldRequests::default());
     let backends = [0, 1].map(|_| {
-        let release_gate = release_gate.clone();
-        Backend::start(move |_| {
-            let _ = release_gate.lock().expect("the gate").recv_timeout(TEST_TIMEOUT);
+        let held = held.clone();
+        Backend::start(move |message| {
+            held.hold(message);
             ok("fine")
         })
     });
@@ -370,21 +370,21 @@
         [entry("s-0", backends[0].address, "in_service"), entry("s-1", backends[1].address, "in_service")];
     watch.send_line(&list(8, true, &entries));
     wait_until(|| node.is_ready(), "readiness");
-    let request_total = || backends.iter().map(Backend::request_count).sum::<usize>();
     let (mut first, mut second, mut small) = (node.client(), node.client(), node.client());
     first.send("POST /correct/1", &common_headers(DEADLINE_MS), &bytes(60_000));
-    wait_until(|| request_total() == 1, "the first at a backend");
+    wait_until(|| held.arrived() == ["/correct/1"], "the first at a backend");
     second.send("POST /correct/2", &common_headers(DEADLINE_MS), &bytes(60_000));
     // A small body needs no reserved memory, and does not wait.
     small.send_correct();
-    wait_until(|| request_total() == 2, "the small one at a backend");
-    release.send(()).and_then(|()| release.send(())).expect("the backends wait");
+    wait_until(|| held.arrived() == ["/correct/1", "/correct/1f"], "the small one at a backend");
+    held.release("/correct/1");
+    held.release("/correct/1f");
     assert_eq!(
         (first.answer().expect("an answer").status(), small.answer().expect("an answer").status()),
         (200, 200)
     );
-    wait_until(|| request_total() == 3, "the second one at a backend");
-    release.send(()).expect("a backend waits");
+    wait_until(|| held.arrived().len() == 3, "the second one at a backend");
+    held.release("/correct/2");
     assert_eq!(second.answer().expect("an answer").status(), 200);
 }
 
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -1,6 +1,8 @@
 //! Test harness: runs a node as a process and provides scripted peers for it, that is backends, discovery and
 //! clients. Tests wait for events; `TEST_TIMEOUT` only ends a test that hangs.
 
+pub mod held_requests;
+
 use rustix::fd::OwnedFd;
 use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, getsockname, socket_with};
 use std::collections::BTreeMap;
