Soak: a slow backend stops pausing once the run has ended

Cause: a slow backend of the soak rests 50 ms after each read, also when the node has ended and only the kernel's copy of an upload is left: megabytes in pieces of a chunk each.

Change: it rests only while the run goes on, and takes the rest of what was sent at once. It still reads to the end, so that a request whose last bytes come late is still judged as one that ran.

--- a/tests/soak_run/backends.rs
+++ b/tests/soak_run/backends.rs
@@ -145,7 +145,8 @@
         while length > 0 {
             let wanted = length.min(SLOW_READ_BYTES);
             length -= self.retry(|reader| reader.read(&mut buffer[..wanted])).filter(|read| *read > 0)?;
-            if slowly {
+            // After the run the rest of what was sent is taken at once: whether it was all of a request is recorded.
+            if slowly && !self.stopped.load(Ordering::SeqCst) {
                 sleep(SLOW_READ_INTERVAL);
             }
         }
