Tests: an upload amid a shutdown does not end before the shutdown does

`uploads::an_upload_that_waits_for_a_connection_or_a_server_is_refused_in_a_shutdown` failed in 1 of 3 runs of tests/node beside six busy processes: 200 in place of 503.

Cause: in the test. Its upload ended by itself 1.03 s after it began. SIGTERM follows once the test has seen the attempt in the kernel's table of connections, and with the 105,610 closed connections that a run of tests/node leaves there, one look at it took 0.13 s. A body that is whole within 0.65 s after SIGTERM is kept and answered, as it should be.

Change: the upload does not end before its connection is closed, so that it is incomplete at the deadline however late SIGTERM comes. Nothing is loosened.

--- a/tests/uploads/mod.rs
+++ b/tests/uploads/mod.rs
@@ -6,9 +6,9 @@
 use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, connect, getsockname, listen, socket_with};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::thread::{JoinHandle, sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -158,25 +158,42 @@
     remote.ends_with(port).then(|| (local_port, state.to_owned()))
 }
 
-/// Sends half of a long body of the class `submit` and goes on slowly, until the node takes no more.
-fn start_slow_upload(node: &Node) -> (Client, JoinHandle<()>) {
+/// An upload of the class `submit` whose body still arrives, slowly, for as long as this is held.
+struct SlowUpload {
+    client: Client,
+    is_ended: Arc<AtomicBool>,
+    sending: JoinHandle<()>,
+}
+
+impl SlowUpload {
+    /// So long that no test sees its end.
+    const LENGTH: usize = 16 * MIB;
     const PIECE_BYTES: usize = 3200;
-    let mut client = node.client();
-    let headers = format!("Idempotency-Key: 1\r\n{}", common_headers(20_000));
-    let length = 2 * MAX_BUFFERED_BYTES;
-    let head = format!("POST /submit/1 HTTP/1.1\r\nHost: a\r\n{headers}Content-Length: {length}\r\n\r\n");
-    client.write(&[head.as_bytes(), &vec![b'x'; MAX_BUFFERED_BYTES]].concat());
-    let mut sender = client.write_handle();
-    let sending = spawn(move || {
-        for _ in 0..MAX_BUFFERED_BYTES / PIECE_BYTES {
-            sleep(Duration::from_millis(50));
-            if sender.write_all(&[b'x'; PIECE_BYTES]).is_err() {
-                return;
+    const PIECE_INTERVAL: Duration = Duration::from_millis(50);
+
+    /// Sends the beginning in one piece, and goes on slowly.
+    fn start(node: &Node) -> Self {
+        let mut client = node.client();
+        let headers = format!("Idempotency-Key: 1\r\n{}", common_headers(20_000));
+        let length = Self::LENGTH;
+        let head = format!("POST /submit/1 HTTP/1.1\r\nHost: a\r\n{headers}Content-Length: {length}\r\n\r\n");
+        client.write(&[head.as_bytes(), &[b'x'; MAX_BUFFERED_BYTES]].concat());
+        let mut sender = client.write_handle();
+        let is_ended = Arc::new(AtomicBool::new(false));
+        let ended = is_ended.clone();
+        let sending = spawn(move || {
+            while !ended.load(Ordering::SeqCst) && sender.write_all(&[b'x'; Self::PIECE_BYTES]).is_ok() {
+                sleep(Self::PIECE_INTERVAL);
             }
-        }
-        let _ = sender.write_all(&[b'x'; MAX_BUFFERED_BYTES % PIECE_BYTES]);
-    });
-    (client, sending)
+        });
+        SlowUpload { client, is_ended, sending }
+    }
+
+    /// Closes its connection.
+    fn end(self) {
+        self.is_ended.store(true, Ordering::SeqCst);
+        self.sending.join().expect("the sender ends");
+    }
 }
 
 /// Guards against an attempt with a body that begins once a shutdown lets go of those that still arrive: its server
@@ -191,7 +208,7 @@
         let listed = is_listed.then(|| entry("s-0", unreachable.address, "in_service"));
         let line = list(9, true, &Vec::from_iter(listed));
         let mut watch = discovery.send_list_until(&line, || node.is_ready(), "readiness");
-        let (mut client, sending) = start_slow_upload(&node);
+        let mut upload = SlowUpload::start(&node);
         if is_listed {
             wait_until(|| unreachable.is_awaited(), "an attempt that waits for its connection");
         }
@@ -203,15 +220,14 @@
             // A second server is listed before the first attempt is given up.
             watch.send_line(&list(10, false, &[entry("s-1", backend.address, "in_service")]));
         }
-        let answer = client.answer().expect("an answer");
+        let answer = upload.client.answer().expect("an answer");
         assert_eq!(
             (answer.status(), answer.header("connection")),
             (503, Some("close")),
             "listed: {is_listed}"
         );
         assert!(terminated.elapsed() < PAST_BODY_DEADLINE, "{:?}, listed: {is_listed}", terminated.elapsed());
-        drop(client);
-        sending.join().expect("the sender ends");
+        upload.end();
         assert_eq!(node.wait_for_exit().code(), Some(0));
         assert_eq!(backend.request_count(), 0, "listed: {is_listed}");
     }
