Tests: ask the kernel for open connections only

Four places in the tests read and parsed the kernel's whole table of TCP connections. A run of tests/node leaves some 100,000 closed ones there, and one look takes 0.13 s on an idle machine and over a second beside load: longer than peers of the tests live that stop in a head.

Change: one module asks by the kernel's socket diagnostics (netlink) for connections in the states that matter. The four parsers go.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 //! clients. Tests wait for events; `TEST_TIMEOUT` only ends a test that hangs.
 
 pub mod held_requests;
+pub mod tcp_connections;
 
 use rustix::fd::OwnedFd;
 use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, getsockname, socket_with};
@@ -15,6 +16,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread::spawn;
 use std::time::{Duration, Instant};
+use tcp_connections::{TcpState, tcp_connections};
 
 /// How long a test waits for an event before it fails.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -595,37 +597,22 @@
 
 /// The bytes that were written to the connection from this local port to this address and that the peer's
 /// machine has not acknowledged.
-pub fn unacknowledged_bytes(port: u16, to: SocketAddr) -> u64 {
-    let table = std::fs::read_to_string("/proc/net/tcp").expect("the connections");
-    let hex_port = |address: &str| u16::from_str_radix(address.rsplit(':').next()?, 16).ok();
-    let row = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
-    let mut row = row.filter(|row| hex_port(row[1]) == Some(port) && hex_port(row[2]) == Some(to.port()));
-    let queues = row.next().expect("an open connection")[4].to_owned();
-    let unacknowledged = queues.split(':').next().expect("the transmit queue");
-    u64::from_str_radix(unacknowledged, 16).expect("a number")
+pub fn unacknowledged_bytes(port: u16, to: SocketAddr) -> u32 {
+    let open = tcp_connections(&[TcpState::Established, TcpState::CloseWait]);
+    let mut connections = open.into_iter().filter(|connection| connection.remote == to);
+    let connection = connections.find(|connection| connection.local.port() == port);
+    connection.expect("an open connection").unacknowledged_bytes
 }
 
 /// Waits until the kernel has delivered the close of the connections from these local ports to this address:
 /// on a busy machine it may lag behind the system call.
 pub fn wait_for_closes(ports: &[u16], to: SocketAddr) {
-    const NOT_DELIVERED: [&str; 2] = ["01", "04"]; // ESTABLISHED, FIN_WAIT1
-    wait_until(
-        || {
-            let table = std::fs::read_to_string("/proc/net/tcp").expect("the connections");
-            !table.lines().skip(1).any(|line| {
-                let mut fields = line.split_whitespace().skip(1);
-                let mut port = || {
-                    let port = fields.next().and_then(|address| address.rsplit(':').next());
-                    port.and_then(|port| u16::from_str_radix(port, 16).ok())
-                };
-                // The same local port may have connections to other addresses.
-                port().is_some_and(|port| ports.contains(&port))
-                    && port() == Some(to.port())
-                    && fields.next().is_some_and(|state| NOT_DELIVERED.contains(&state))
-            })
-        },
-        "closes to be delivered",
-    );
+    const NOT_DELIVERED: [TcpState; 2] = [TcpState::Established, TcpState::FinWait1];
+    let is_open = || {
+        let mut connections = tcp_connections(&NOT_DELIVERED).into_iter();
+        connections.any(|connection| connection.remote == to && ports.contains(&connection.local.port()))
+    };
+    wait_until(|| !is_open(), "closes to be delivered");
 }
 
 /// Polls until a condition holds, for changes that send no event.
--- a/tests/uploads/mod.rs
+++ b/tests/uploads/mod.rs
@@ -1,5 +1,6 @@
 //! Requests with streamed bodies whose backends fail: what their clients are answered, and when.
 
+use crate::harness::tcp_connections::{TcpState, tcp_connections};
 use crate::harness::*;
 use rustix::fd::OwnedFd;
 use rustix::net::sockopt::set_socket_linger;
@@ -108,9 +109,6 @@
 impl UnreachableBackend {
     /// More than fit into the shortest queue.
     const QUEUED_CONNECTIONS: usize = 4;
-    // States in the kernel's table.
-    const ESTABLISHED: &str = "01";
-    const SYN_SENT: &str = "02";
 
     fn start() -> Self {
         let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
@@ -131,33 +129,23 @@
         let queued: Vec<_> = (0..Self::QUEUED_CONNECTIONS).map(|_| queue()).collect();
         let queued_ports = queued.iter().map(|socket| address_of(socket).port()).collect();
         let backend = UnreachableBackend { address, queued_ports, _listener: listener, _queued: queued };
-        let is_full = || backend.connections().any(|(_, state)| state == Self::ESTABLISHED);
-        wait_until(is_full, "a full accept queue");
+        wait_until(|| backend.has_connection(TcpState::Established, &[]), "a full accept queue");
         backend
     }
 
-    /// The connections to it: local port and state of each.
-    fn connections(&self) -> impl Iterator<Item = (u16, String)> {
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("the connections");
-        let port = format!(":{:04X}", self.address.port());
-        let rows: Vec<_> = table.lines().skip(1).filter_map(|line| row_to(line, &port)).collect();
-        rows.into_iter()
+    /// Whether a connection to it is in this state, not counting those from these ports.
+    fn has_connection(&self, state: TcpState, except: &[u16]) -> bool {
+        let mut connections = tcp_connections(&[state]).into_iter();
+        connections
+            .any(|connection| connection.remote == self.address && !except.contains(&connection.local.port()))
     }
 
     /// Whether a node waits for a connection to it.
     fn is_awaited(&self) -> bool {
-        self.connections().any(|(port, state)| state == Self::SYN_SENT && !self.queued_ports.contains(&port))
+        self.has_connection(TcpState::SynSent, &self.queued_ports)
     }
 }
 
-/// The local port and the state in a row of the kernel's table, if it is that of a connection to this port.
-fn row_to(line: &str, port: &str) -> Option<(u16, String)> {
-    let mut fields = line.split_whitespace().skip(1);
-    let (local, remote, state) = (fields.next()?, fields.next()?, fields.next()?);
-    let local_port = u16::from_str_radix(local.rsplit(':').next()?, 16).ok()?;
-    remote.ends_with(port).then(|| (local_port, state.to_owned()))
-}
-
 /// An upload of the class `submit` whose body still arrives, slowly, for as long as this is held.
 struct SlowUpload {
     client: Client,
