--- a/tests/harness/held_requests.rs
+++ b/tests/harness/held_requests.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeSet;
 use std::sync::{Condvar, Mutex};
 
-/// Holds each request that has arrived at a backend until its own path is released: with one gate for several
-/// requests, the one that is to go on is not the one that passes on a busy machine.
+/// Holds each request that has arrived at a backend until its own path is released. With one gate for several
+/// requests any of them could take the release of another.
 #[derive(Default)]
 pub struct HeldRequests {
     paths: Mutex<Paths>,
--- a/tests/harness/tcp_connections.rs
+++ b/tests/harness/tcp_connections.rs
@@ -40,6 +40,13 @@
 /// The length of the address part of a request, which stays empty.
 const ADDRESS_BYTES: usize = 48;
 const REPLY_BUFFER_BYTES: usize = 64 * 1024;
+// Offsets of fields in a `struct inet_diag_msg`.
+const LOCAL_PORT_AT: usize = 4;
+const REMOTE_PORT_AT: usize = 6;
+const LOCAL_HOST_AT: usize = 8;
+const REMOTE_HOST_AT: usize = 24;
+const RECEIVE_QUEUE_AT: usize = 56;
+const SEND_QUEUE_AT: usize = 60;
 
 /// The connections over IPv4 in one of these states.
 pub fn tcp_connections(states: &[TcpState]) -> Vec<TcpConnection> {
@@ -91,10 +98,10 @@
         SocketAddr::from((Ipv4Addr::from(host), port))
     };
     TcpConnection {
-        local: address(4, 8),
-        remote: address(6, 24),
-        unread_bytes: u32_at(message, 56),
-        unacknowledged_bytes: u32_at(message, 60),
+        local: address(LOCAL_PORT_AT, LOCAL_HOST_AT),
+        remote: address(REMOTE_PORT_AT, REMOTE_HOST_AT),
+        unread_bytes: u32_at(message, RECEIVE_QUEUE_AT),
+        unacknowledged_bytes: u32_at(message, SEND_QUEUE_AT),
     }
 }
 
--- a/tests/long_heads/mod.rs
+++ b/tests/long_heads/mod.rs
@@ -79,7 +79,8 @@
     let (node, _watch, _discovery) = node_without_memory(&[&backend]);
     let _peers = stopped_peers(&node);
     let request = format!("{}sheet", long_head());
-    let (begin, rest) = request.split_at(request.len() - 7);
+    let empty_line_and_body = "\r\nsheet";
+    let (begin, rest) = request.split_at(request.len() - empty_line_and_body.len());
     let mut client = node.client();
     client.write(begin.as_bytes());
     wait_until(|| waits_for_memory(&node, &client, begin.len()), "a head that waits for memory");
--- a/tests/uploads/mod.rs
+++ b/tests/uploads/mod.rs
@@ -146,7 +146,7 @@
     }
 }
 
-/// An upload of the class `submit` whose body still arrives, slowly, for as long as this is held.
+/// An upload of the class `submit` whose body still arrives, slowly, until it is ended.
 struct SlowUpload {
     client: Client,
     is_ended: Arc<AtomicBool>,
